core: decisions, configuration and messages as immutable values

Change: a workspace of five modules; core holds the packages that decide (flow, route, limit, member, sheet, conf), the borders (store, peer) and the messages (wire, token). Conclusion: stands as the base.

--- /dev/null
+++ b/core/audit/trail.go
@@ -0,0 +1,129 @@
+package audit
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"bramleywharf.example/core/conf"
+	"bramleywharf.example/core/store"
+	"bramleywharf.example/core/token"
+	"github.com/pkg/errors"
+)
+
+// KindRecord is the kind of the platform's objects that hold records.
+const KindRecord = "audit"
+
+// Outcome says what became of a change.
+type Outcome string
+
+// The outcomes of a change.
+const (
+	Proposed Outcome = "proposed" // Proposed is a change of which the end was not recorded.
+	Accepted Outcome = "accepted"
+	Refused  Outcome = "refused"
+)
+
+// Record is one change of one object.
+type Record struct {
+	ID      string    `json:"id"` // ID is the write id of the change.
+	At      time.Time `json:"at"`
+	Who     string    `json:"who"`
+	Kind    string    `json:"kind"`
+	Name    string    `json:"name"`
+	From    uint64    `json:"from"` // From is the revision that the change is based on; 0 creates the object.
+	To      uint64    `json:"to,omitempty"`
+	Outcome Outcome   `json:"outcome"`
+	Changes []string  `json:"changes,omitempty"`
+}
+
+// Trail changes objects and keeps records of it.
+type Trail struct {
+	store store.Store
+}
+
+// NewTrail returns a trail in a platform.
+func NewTrail(s store.Store) *Trail {
+	return &Trail{store: store.Settled{Store: s}}
+}
+
+// Change writes an object on behalf of somebody, with a record; the error wraps store.ErrConflict or store.ErrUncertain.
+func (t *Trail) Change(ctx context.Context, who string, o store.Object, changes []string) (Record, error) {
+	r := Record{
+		ID:      token.NewID(),
+		At:      time.Now().UTC().Truncate(time.Millisecond),
+		Who:     who,
+		Kind:    o.Kind,
+		Name:    o.Name,
+		From:    o.Revision,
+		Outcome: Proposed,
+		Changes: changes,
+	}
+	held, err := t.write(ctx, store.Object{Kind: KindRecord, Name: recordName(r)}, r)
+	if err != nil {
+		return r, fmt.Errorf("record the change before making it: %w", err)
+	}
+	o.WriteID = r.ID
+	r.To, err = t.store.Put(ctx, o)
+	switch {
+	case err == nil:
+		r.Outcome = Accepted
+	case errors.Is(err, store.ErrConflict):
+		r.Outcome = Refused
+	default:
+		return r, err
+	}
+	if _, closing := t.write(ctx, held, r); closing != nil && err == nil {
+		return r, nil // The change stands; History finds its outcome by the write id.
+	}
+	return r, err
+}
+
+// History returns the records of an object, or of all when kind is empty, the oldest first.
+func (t *Trail) History(ctx context.Context, kind, name string) ([]Record, error) {
+	page, err := t.store.List(ctx, append(conf.Kinds(), KindRecord))
+	if err != nil {
+		return nil, fmt.Errorf("read the trail: %w", err)
+	}
+	standing := make(map[string]store.Object)
+	var records []Record
+	for _, o := range page.Objects {
+		if o.Kind != KindRecord {
+			standing[o.WriteID] = o
+			continue
+		}
+		var r Record
+		if err := json.Unmarshal(o.Value, &r); err != nil {
+			return nil, fmt.Errorf("decode record %s: %w", o.Name, err)
+		}
+		if kind == "" || (r.Kind == kind && (name == "" || r.Name == name)) {
+			records = append(records, r)
+		}
+	}
+	for i, r := range records {
+		if o, ok := standing[r.ID]; ok && r.Outcome == Proposed {
+			records[i].Outcome, records[i].To = Accepted, o.Revision
+		}
+	}
+	slices.SortFunc(records, func(a, b Record) int { return strings.Compare(recordName(a), recordName(b)) })
+	return records, nil
+}
+
+// write stores a record.
+func (t *Trail) write(ctx context.Context, o store.Object, r Record) (store.Object, error) {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return o, fmt.Errorf("encode record: %w", err)
+	}
+	next := o.WithValue(token.NewID(), raw)
+	next.Revision, err = t.store.Put(ctx, next)
+	return next, err
+}
+
+// recordName returns the object's name of a record, which sorts by time.
+func recordName(r Record) string {
+	return r.At.Format("20060102t150405.000") + "-" + strings.ToLower(r.ID)
+}
--- /dev/null
+++ b/core/decl/file.go
@@ -0,0 +1,74 @@
+package decl
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"bramleywharf.example/core/conf"
+	"github.com/goccy/go-yaml"
+)
+
+// File is a declaration file: objects by name under the plural of their kind.
+type File struct {
+	Models        map[string]json.RawMessage `json:"models"`
+	Organisations map[string]json.RawMessage `json:"organisations"`
+	Services      map[string]json.RawMessage `json:"services"`
+	Targets       map[string]json.RawMessage `json:"targets"`
+}
+
+// Declared is one object of a declaration file, checked, in the encoding that the platform stores.
+type Declared struct {
+	Key conf.Key
+	Raw json.RawMessage
+}
+
+// Parse reads a declaration file in YAML or JSON and returns its objects, or every fault found.
+func Parse(source []byte) ([]Declared, []error) {
+	raw, err := yaml.YAMLToJSON(source)
+	if err != nil {
+		return nil, []error{fmt.Errorf("read YAML: %w", err)}
+	}
+	file, err := decode[File](raw)
+	if err != nil {
+		return nil, []error{err}
+	}
+	var declared []Declared
+	var faults []error
+	for kind, objects := range file.byKind() {
+		for name, value := range objects {
+			d, err := declare(kind, name, value)
+			if err != nil {
+				faults = append(faults, err)
+				continue
+			}
+			declared = append(declared, d)
+		}
+	}
+	return declared, faults
+}
+
+// byKind returns the file's objects under the kinds of the platform.
+func (f File) byKind() map[string]map[string]json.RawMessage {
+	return map[string]map[string]json.RawMessage{
+		conf.KindModel:        f.Models,
+		conf.KindOrganisation: f.Organisations,
+		conf.KindService:      f.Services,
+		conf.KindTarget:       f.Targets,
+	}
+}
+
+// declare checks one object and returns it in its stored encoding.
+func declare(kind, name string, value json.RawMessage) (Declared, error) {
+	if !ValidName(name) {
+		return Declared{}, fmt.Errorf("%s %q: names are lower-case letters, digits, dots and dashes", kind, name)
+	}
+	v, err := Value(kind, name, value)
+	if err != nil {
+		return Declared{}, err
+	}
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return Declared{}, fmt.Errorf("encode %s/%s: %w", kind, name, err)
+	}
+	return Declared{Key: conf.Key{Kind: kind, Name: name}, Raw: raw}, nil
+}
--- /dev/null
+++ b/core/store/memory.go
@@ -0,0 +1,188 @@
+package store
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is the sealed set of faults that a Memory store can show.
+type Fault interface {
+	isFault()
+}
+
+// Healthy shows no fault.
+type Healthy struct{}
+
+// Down refuses every call.
+type Down struct{}
+
+// LoseAnswers applies writes but loses their answers.
+type LoseAnswers struct{}
+
+// LoseWrites loses writes before they take effect, and their answers.
+type LoseWrites struct{}
+
+// Slow delays every call.
+type Slow struct {
+	By time.Duration
+}
+
+func (Healthy) isFault()     {}
+func (Down) isFault()        {}
+func (LoseAnswers) isFault() {}
+func (LoseWrites) isFault()  {}
+func (Slow) isFault()        {}
+
+// Memory is an object API held in memory, with faults; it is safe for concurrent use.
+type Memory struct {
+	mu        sync.Mutex
+	fault     Fault
+	revision  uint64
+	objects   map[string]Object
+	instances []Instance
+	changed   chan struct{}
+}
+
+var _ Store = (*Memory)(nil)
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{
+		fault:   Healthy{},
+		objects: make(map[string]Object),
+		changed: make(chan struct{}),
+	}
+}
+
+// Changes waits for objects of the kinds changed after a revision.
+func (m *Memory) Changes(ctx context.Context, kinds []string, after uint64, wait time.Duration) (Page, error) {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		if err := m.meet(ctx); err != nil {
+			return Page{}, err
+		}
+		page, changed := m.page(kinds, after)
+		if len(page.Objects) > 0 {
+			return page, nil
+		}
+		select {
+		case <-ctx.Done():
+			return Page{}, ErrDown
+		case <-deadline.C:
+			return page, nil
+		case <-changed:
+		}
+	}
+}
+
+// Get returns one object.
+func (m *Memory) Get(ctx context.Context, kind, name string) (Object, error) {
+	if err := m.meet(ctx); err != nil {
+		return Object{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.objects[kind+"/"+name]
+	if !ok || o.Deleted {
+		return Object{}, ErrNotFound
+	}
+	return o, nil
+}
+
+// Instances returns the list as it was set.
+func (m *Memory) Instances(ctx context.Context) ([]Instance, error) {
+	if err := m.meet(ctx); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.instances), nil
+}
+
+// List returns all objects of the kinds.
+func (m *Memory) List(ctx context.Context, kinds []string) (Page, error) {
+	if err := m.meet(ctx); err != nil {
+		return Page{}, err
+	}
+	page, _ := m.page(kinds, 0)
+	return page, nil
+}
+
+// Put writes an object if its stored revision is still o.Revision.
+func (m *Memory) Put(ctx context.Context, o Object) (uint64, error) {
+	if err := m.meet(ctx); err != nil {
+		return 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, lost := m.fault.(LoseWrites); lost {
+		return 0, ErrUncertain
+	}
+	key := o.Kind + "/" + o.Name
+	if m.objects[key].Revision != o.Revision {
+		return 0, ErrConflict
+	}
+	m.revision++
+	o.Revision = m.revision
+	m.objects[key] = o
+	close(m.changed)
+	m.changed = make(chan struct{})
+	if _, lost := m.fault.(LoseAnswers); lost {
+		return 0, ErrUncertain
+	}
+	return o.Revision, nil
+}
+
+// SetFault changes how the store fails from now on, and wakes waiting watches.
+func (m *Memory) SetFault(f Fault) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fault = f
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// SetInstances replaces the lagging list.
+func (m *Memory) SetInstances(list []Instance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.instances = slices.Clone(list)
+}
+
+// meet shows the current fault to a call.
+func (m *Memory) meet(ctx context.Context) error {
+	m.mu.Lock()
+	fault := m.fault
+	m.mu.Unlock()
+	switch f := fault.(type) {
+	case Down:
+		return ErrDown
+	case Slow:
+		select {
+		case <-ctx.Done():
+			return ErrDown
+		case <-time.After(f.By):
+		}
+	}
+	return nil
+}
+
+// page returns the objects of the kinds changed after a revision and the channel that closes on the next change.
+func (m *Memory) page(kinds []string, after uint64) (Page, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	page := Page{Revision: m.revision}
+	for _, o := range m.objects {
+		if o.Revision > after && slices.Contains(kinds, o.Kind) {
+			page.Objects = append(page.Objects, o)
+		}
+	}
+	slices.SortFunc(page.Objects, func(a, b Object) int {
+		return strings.Compare(a.Kind+"/"+a.Name, b.Kind+"/"+b.Name)
+	})
+	return page, m.changed
+}
--- /dev/null
+++ b/core/wire/message.go
@@ -0,0 +1,146 @@
+package wire
+
+import (
+	"time"
+
+	"bramleywharf.example/core/member"
+)
+
+// Message is the sealed set of messages between instances.
+type Message interface {
+	isMessage()
+}
+
+// Gossip is a heartbeat in either direction: news of members and how fresh the sender's configuration is.
+type Gossip struct {
+	From     member.Member   `cbor:"1,keyasint"`
+	Members  []member.Member `cbor:"2,keyasint,omitempty"`
+	Revision uint64          `cbor:"3,keyasint"`           // Revision is the sender's configuration revision.
+	Age      time.Duration   `cbor:"4,keyasint"`           // Age is the time since the platform was last heard of, by way of any peer.
+	Forward  string          `cbor:"5,keyasint,omitempty"` // Forward asks the receiver to probe this peer address on the sender's behalf.
+	Full     bool            `cbor:"6,keyasint,omitempty"` // Full asks for the whole view in the answer.
+	Load     int             `cbor:"7,keyasint,omitempty"` // Load counts the sender's generations.
+}
+
+// PullConfig asks for configuration changed after a revision.
+type PullConfig struct {
+	After uint64 `cbor:"1,keyasint"`
+}
+
+// ConfigPage answers PullConfig with all changes up to a revision.
+type ConfigPage struct {
+	Revision uint64         `cbor:"1,keyasint"`
+	Objects  []ConfigObject `cbor:"2,keyasint,omitempty"`
+}
+
+// ConfigObject is one configuration object in its stored encoding.
+type ConfigObject struct {
+	Kind     string `cbor:"1,keyasint"`
+	Name     string `cbor:"2,keyasint"`
+	Revision uint64 `cbor:"3,keyasint"`
+	Deleted  bool   `cbor:"4,keyasint,omitempty"`
+	Value    []byte `cbor:"5,keyasint,omitempty"`
+}
+
+// Log is the copy of one generation that a keeper holds for its origin.
+type Log struct {
+	Request      string   `cbor:"1,keyasint"`
+	Organisation string   `cbor:"2,keyasint,omitempty"`
+	Model        string   `cbor:"3,keyasint,omitempty"`
+	Adapter      string   `cbor:"4,keyasint,omitempty"`
+	Version      string   `cbor:"5,keyasint,omitempty"`
+	Seed         uint64   `cbor:"6,keyasint,omitempty"`
+	MaxTokens    int      `cbor:"7,keyasint,omitempty"`
+	Priority     int      `cbor:"8,keyasint,omitempty"`
+	Prompt       string   `cbor:"9,keyasint,omitempty"` // Prompt is sent once, when the generation has grown costly.
+	Target       string   `cbor:"10,keyasint,omitempty"`
+	AttemptID    string   `cbor:"15,keyasint,omitempty"` // AttemptID names the attempt at the engine.
+	Attempt      int      `cbor:"11,keyasint,omitempty"`
+	Offset       int      `cbor:"12,keyasint,omitempty"` // Offset is that of the first of Tokens.
+	Tokens       []string `cbor:"13,keyasint,omitempty"`
+	Done         bool     `cbor:"14,keyasint,omitempty"` // Done tells the keeper to forget the generation.
+}
+
+// Keep hands news of generations to a keeper.
+type Keep struct {
+	From string `cbor:"1,keyasint"`
+	Logs []Log  `cbor:"2,keyasint"`
+}
+
+// Kept answers Keep.
+type Kept struct {
+	Unknown []string `cbor:"1,keyasint,omitempty"` // Unknown names requests whose beginning the keeper lacks.
+}
+
+// Adopt asks the origin or keeper of a generation to let another instance go on with it.
+type Adopt struct {
+	Request string `cbor:"1,keyasint"`
+	By      string `cbor:"2,keyasint"`
+}
+
+// Adopted answers Adopt with what is held of the generation.
+type Adopted struct {
+	Found bool `cbor:"1,keyasint"`
+	Log   Log  `cbor:"2,keyasint"`
+}
+
+// Want asks an organisation's lender for running slots.
+type Want struct {
+	Organisation string `cbor:"1,keyasint"`
+	Running      int    `cbor:"2,keyasint"` // Running counts the slots in use.
+	Held         int    `cbor:"4,keyasint"` // Held counts the slots granted before and still valid.
+	Wanted       int    `cbor:"3,keyasint"` // Wanted counts the slots asked for, those in use included.
+}
+
+// Borrow asks a lender for slots of several organisations.
+type Borrow struct {
+	From  string `cbor:"1,keyasint"`
+	Wants []Want `cbor:"2,keyasint"`
+}
+
+// Lent answers Borrow with the slots granted, in the same order, for a time that counts from the sending of Borrow.
+type Lent struct {
+	Slots []int         `cbor:"1,keyasint"`
+	Life  time.Duration `cbor:"2,keyasint"`
+}
+
+// Spend asks the issuer of a key to run a non-idempotent call, which only its own memory may decide.
+type Spend struct {
+	Key          string        `cbor:"1,keyasint"`
+	Organisation string        `cbor:"2,keyasint"`
+	Service      string        `cbor:"3,keyasint"`
+	Method       string        `cbor:"4,keyasint"`
+	Path         string        `cbor:"5,keyasint"`
+	ContentType  string        `cbor:"6,keyasint,omitempty"`
+	Body         []byte        `cbor:"7,keyasint,omitempty"`
+	Within       time.Duration `cbor:"8,keyasint"` // Within is what is left of the caller's deadline.
+}
+
+// Spent answers Spend with the outcome of the call, or with a refusal.
+type Spent struct {
+	Status      int           `cbor:"1,keyasint,omitempty"`
+	ContentType string        `cbor:"2,keyasint,omitempty"`
+	Body        []byte        `cbor:"3,keyasint,omitempty"`
+	Refusal     string        `cbor:"4,keyasint,omitempty"` // Refusal is the kind of refusal, or empty.
+	Detail      string        `cbor:"5,keyasint,omitempty"`
+	Executed    string        `cbor:"6,keyasint,omitempty"`
+	RetryAfter  time.Duration `cbor:"7,keyasint,omitempty"`
+}
+
+// Failed answers a message that could not be handled.
+type Failed struct {
+	Reason string `cbor:"1,keyasint"`
+}
+
+func (Gossip) isMessage()     {}
+func (PullConfig) isMessage() {}
+func (ConfigPage) isMessage() {}
+func (Keep) isMessage()       {}
+func (Kept) isMessage()       {}
+func (Adopt) isMessage()      {}
+func (Adopted) isMessage()    {}
+func (Borrow) isMessage()     {}
+func (Lent) isMessage()       {}
+func (Spend) isMessage()      {}
+func (Spent) isMessage()      {}
+func (Failed) isMessage()     {}
