entry: the entry instance, a chain of filters and a set of controllers

Cause: the whole path has to run, thin, as separate processes. Change: filters record, identify, check and limit stand before one handler that switches over the kinds of requests; controllers fleet, watch, pool, keep and lend hold the state; relay carries out what core/flow decides; once runs calls of plain services at most once by a claim in the platform or by an issued key. Ruled out: gossip of whole views at a fixed rate (8 KB a message at 410 members); a keeper's acknowledgement before each token (adds a round trip to each; the running hash proves a regenerated tail instead).

--- /dev/null
+++ b/entry/internal/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin answers operators: metrics, health, status and drain.
+package admin
--- /dev/null
+++ b/entry/internal/boot/settings.go
@@ -0,0 +1,80 @@
+package boot
+
+import (
+	"encoding/hex"
+	"net"
+	"net/url"
+	"time"
+
+	"bramleywharf.example/core/decl"
+	"bramleywharf.example/core/opts"
+	"github.com/spf13/pflag"
+)
+
+// minSecret is the least length of the fleet's secret, in bytes.
+const minSecret = 16
+
+// Settings holds the settings of an entry instance.
+type Settings struct {
+	Name          string
+	Domain        string
+	Listen        string
+	PeerListen    string
+	AdminListen   string
+	Advertise     string
+	PeerAdvertise string
+	Platform      string
+	PlatformToken string
+	FleetSecret   string
+	OperatorHash  string
+	Seeds         []string
+	Subset        int
+	Costly        int
+	Linger        time.Duration
+	LameDuck      time.Duration
+	DrainTimeout  time.Duration
+	LogLevel      string
+}
+
+// Bind adds the settings to flags with their defaults.
+func (s *Settings) Bind(flags *pflag.FlagSet) {
+	flags.StringVar(&s.Name, "name", "", "name of this instance, unique in the fleet")
+	flags.StringVar(&s.Domain, "failure-domain", "", "failure domain that this instance is in")
+	flags.StringVar(&s.Listen, "listen", "127.0.0.1:8080", "TCP address for callers")
+	flags.StringVar(&s.PeerListen, "peer-listen", "127.0.0.1:8081", "UDP address for other instances")
+	flags.StringVar(&s.AdminListen, "admin-listen", "127.0.0.1:8082", "TCP address for operators: metrics, status, health and drain")
+	flags.StringVar(&s.Advertise, "advertise", "", "address that callers are told; empty for --listen")
+	flags.StringVar(&s.PeerAdvertise, "peer-advertise", "", "address that other instances are told; empty for --peer-listen")
+	flags.StringVar(&s.Platform, "platform", "", "base URL of the platform's object API")
+	flags.StringVar(&s.PlatformToken, "platform-token", "", "bearer token for the platform")
+	flags.StringVar(&s.FleetSecret, "fleet-secret", "", "secret that all instances share; event ids and peer connections rest on it")
+	flags.StringVar(&s.OperatorHash, "operator-key-hash", "", "SHA-256 hash, in hexadecimal, of the key that operators show")
+	flags.StringSliceVar(&s.Seeds, "seeds", nil, "peer addresses to ask when the platform's list cannot be had")
+	flags.IntVar(&s.Subset, "target-subset", 12, "engines watched for each model")
+	flags.IntVar(&s.Costly, "costly-after", 64, "tokens after which a generation is copied to a keeper")
+	flags.DurationVar(&s.Linger, "linger", 15*time.Second, "time that a generation goes on after its caller left")
+	flags.DurationVar(&s.LameDuck, "lame-duck", 5*time.Second, "time in which a leaving instance still takes new calls, at least the life of an address answer")
+	flags.DurationVar(&s.DrainTimeout, "drain-timeout", time.Hour, "longest time that a leaving instance waits for its generations")
+	flags.StringVar(&s.LogLevel, "log-level", "info", "least level of log lines: debug, info, warn or error")
+}
+
+// Check returns every fault of the settings in one error.
+func (s *Settings) Check() error {
+	var c opts.Checks
+	c.Need(decl.ValidName(s.Name), "--name %q must be lower-case letters, digits, dots and dashes", s.Name)
+	c.Need(s.Domain != "", "--failure-domain is missing")
+	for flag, address := range map[string]string{"listen": s.Listen, "peer-listen": s.PeerListen, "admin-listen": s.AdminListen} {
+		_, _, err := net.SplitHostPort(address)
+		c.Need(err == nil, "--%s %q must be an address with a port", flag, address)
+	}
+	base, err := url.Parse(s.Platform)
+	c.Need(err == nil && base.Host != "", "--platform %q must be a URL", s.Platform)
+	c.Need(len(s.FleetSecret) >= minSecret, "--fleet-secret needs at least %d bytes", minSecret)
+	hash, err := hex.DecodeString(s.OperatorHash)
+	c.Need(err == nil && len(hash) == 32, "--operator-key-hash must be 64 hexadecimal digits")
+	c.Need(s.Subset > 0, "--target-subset must be at least 1")
+	c.Need(s.Costly > 0, "--costly-after must be at least 1")
+	c.Need(s.Linger >= 0, "--linger must not be negative")
+	c.Need(s.LameDuck >= 0 && s.DrainTimeout >= 0, "--lame-duck and --drain-timeout must not be negative")
+	return c.Err()
+}
--- /dev/null
+++ b/entry/internal/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package cmd is the command line of the entry instance.
+package cmd
--- /dev/null
+++ b/entry/internal/engine/caller.go
@@ -0,0 +1,124 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of plain services.
+var (
+	ErrNotSent = errors.New("nothing was sent to the service")
+	ErrUnknown = errors.New("the service may have executed the call")
+)
+
+// MaxAnswer bounds the body of a service's answer, in bytes.
+const MaxAnswer = 256 << 10
+
+// KeyHeader carries the key of a non-idempotent call to the service.
+const KeyHeader = "X-Order-Key"
+
+// Call is one call of a plain service.
+type Call struct {
+	Method      string
+	Path        string
+	Key         string
+	ContentType string
+	Body        []byte
+}
+
+// Result is a service's answer.
+type Result struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Caller calls plain services at their addresses; implementations never send a call twice and are safe for concurrent use.
+type Caller interface {
+	// Call sends a call once; the error wraps ErrNotSent or ErrUnknown.
+	Call(ctx context.Context, address string, c Call) (Result, error)
+}
+
+// HTTPCaller calls plain services over net/http.
+type HTTPCaller struct {
+	transport *http.Transport
+}
+
+var _ Caller = (*HTTPCaller)(nil)
+
+// dialError marks a failure to connect, before anything is sent.
+type dialError struct {
+	cause error
+}
+
+// Error describes the failure.
+func (d dialError) Error() string {
+	return "connect: " + d.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (d dialError) Unwrap() error {
+	return d.cause
+}
+
+// NewCaller returns a caller; dial is nil for TCP.
+//
+// Every call has a connection of its own: net/http sends a request again by
+// itself only on a kept connection that turns out stale, or when it follows a
+// redirect, and neither can happen here.
+func NewCaller(dial func(ctx context.Context, network, address string) (net.Conn, error)) *HTTPCaller {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	marked := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, dialError{cause: err}
+		}
+		return conn, nil
+	}
+	return &HTTPCaller{transport: &http.Transport{DialContext: marked, DisableKeepAlives: true, DisableCompression: true}}
+}
+
+// Call sends a call once on a connection of its own.
+func (h *HTTPCaller) Call(ctx context.Context, address string, c Call) (Result, error) {
+	request, err := http.NewRequestWithContext(ctx, c.Method, "http://"+address+c.Path, bytes.NewReader(c.Body))
+	if err != nil {
+		return Result{}, fmt.Errorf("%w: build call: %w", ErrNotSent, err)
+	}
+	request.GetBody = nil
+	if c.ContentType != "" {
+		request.Header.Set("Content-Type", c.ContentType)
+	}
+	if c.Key != "" {
+		request.Header.Set(KeyHeader, c.Key)
+	}
+	response, err := h.transport.RoundTrip(request)
+	if err != nil {
+		return Result{}, fmt.Errorf("%w: %w", sendError(err), err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswer+1))
+	if err != nil {
+		return Result{}, fmt.Errorf("%w: read answer: %w", ErrUnknown, err)
+	}
+	if len(body) > MaxAnswer {
+		return Result{}, fmt.Errorf("%w: answer is over %d bytes", ErrUnknown, MaxAnswer)
+	}
+	return Result{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// sendError tells whether a failed round trip may have sent something.
+func sendError(err error) error {
+	var d dialError
+	if errors.As(err, &d) {
+		return ErrNotSent
+	}
+	return ErrUnknown
+}
--- /dev/null
+++ b/entry/internal/filter/check.go
@@ -0,0 +1,67 @@
+package filter
+
+import (
+	"context"
+	"slices"
+
+	"bramleywharf.example/core/deny"
+	"bramleywharf.example/entry/internal/chain"
+)
+
+// Bounds of one generation.
+const (
+	MaxPrompt = 4 << 20   // MaxPrompt bounds the text of a prompt, in bytes.
+	MaxTokens = 1_000_000 // MaxTokens bounds the tokens of an answer.
+)
+
+// Check judges a call by the configuration in force.
+type Check struct{}
+
+var _ chain.Filter = Check{}
+
+// Handle passes calls on that the configuration allows, with its defaults filled in.
+func (Check) Handle(ctx context.Context, c chain.Call, next chain.Handler) chain.Answer {
+	switch r := c.Request.(type) {
+	case chain.Generate:
+		checked, refusal := checkGenerate(c, r)
+		if refusal != nil {
+			return chain.Refuse(*refusal)
+		}
+		return next(ctx, c.WithRequest(checked))
+	case chain.Invoke:
+		if _, ok := c.Config.Service(r.Service); !ok {
+			return chain.Refuse(deny.New(deny.KindUnknown, "service %q is not configured", r.Service))
+		}
+		return next(ctx, c)
+	default:
+		return next(ctx, c)
+	}
+}
+
+// checkGenerate judges a generation and fills in the model's default version.
+func checkGenerate(c chain.Call, r chain.Generate) (chain.Generate, *deny.Refusal) {
+	model, ok := c.Config.Model(r.Model)
+	if r.Version == "" {
+		r.Version = model.Default
+	}
+	var refusal deny.Refusal
+	switch {
+	case !ok:
+		refusal = deny.New(deny.KindUnknown, "model %q is not configured", r.Model)
+	case !slices.Contains(model.Versions, r.Version):
+		refusal = deny.New(deny.KindUnknown, "model %s has no version %q", r.Model, r.Version)
+	case r.Adapter != "" && !slices.Contains(model.Adapters, r.Adapter):
+		refusal = deny.New(deny.KindUnknown, "model %s has no adapter %q", r.Model, r.Adapter)
+	case !c.Limit.Allows(r.Model, r.Adapter, r.Version):
+		refusal = deny.New(deny.KindForbidden, "the sheet does not let %s use %s/%s@%s", c.Organisation, r.Model, r.Adapter, r.Version)
+	case r.Prompt == "":
+		refusal = deny.New(deny.KindMalformed, "prompt is empty")
+	case len(r.Prompt) > MaxPrompt:
+		refusal = deny.New(deny.KindTooLarge, "prompt has %d bytes, over %d", len(r.Prompt), MaxPrompt)
+	case r.MaxTokens < 1 || r.MaxTokens > MaxTokens:
+		refusal = deny.New(deny.KindMalformed, "max_tokens %d is not from 1 to %d", r.MaxTokens, MaxTokens)
+	default:
+		return r, nil
+	}
+	return r, &refusal
+}
--- /dev/null
+++ b/entry/internal/filter/doc.go
@@ -0,0 +1,3 @@
+// Package filter holds the filters that every call passes: record, identify,
+// check and limit.
+package filter
--- /dev/null
+++ b/entry/internal/filter/limit.go
@@ -0,0 +1,41 @@
+package filter
+
+import (
+	"context"
+
+	"bramleywharf.example/core/deny"
+	"bramleywharf.example/entry/internal/chain"
+)
+
+// Ceilings lends slots of the organisations' ceilings.
+type Ceilings interface {
+	// Acquire takes a slot of an organisation's ceiling until release is called.
+	Acquire(ctx context.Context, organisation string) (release func(), err error)
+}
+
+// Limit holds generations to their organisation's ceiling; calls of plain services pass at once.
+type Limit struct {
+	ceilings Ceilings
+}
+
+var _ chain.Filter = (*Limit)(nil)
+
+// NewLimit returns a filter that takes slots from ceilings.
+func NewLimit(ceilings Ceilings) *Limit {
+	return &Limit{ceilings: ceilings}
+}
+
+// Handle passes generations on that hold a slot.
+func (l *Limit) Handle(ctx context.Context, c chain.Call, next chain.Handler) chain.Answer {
+	switch c.Request.(type) {
+	case chain.Generate, chain.Resume:
+		release, err := l.ceilings.Acquire(ctx, c.Organisation)
+		if err != nil {
+			return chain.Refuse(deny.New(deny.KindLimit, "%v: %d generations at once", err, c.Limit.Ceiling).WithRetryAfter(retryAfter))
+		}
+		defer release()
+		return next(ctx, c)
+	default:
+		return next(ctx, c)
+	}
+}
--- /dev/null
+++ b/entry/internal/pool/table.go
@@ -0,0 +1,61 @@
+package pool
+
+import (
+	"sync/atomic"
+
+	"bramleywharf.example/core/conf"
+	"bramleywharf.example/core/route"
+)
+
+// entry is one watched target; its values are never changed after construction, but for the shared count.
+type entry struct {
+	target  conf.Target
+	own     *atomic.Int64 // own counts this instance's generations there.
+	load    int
+	slots   int
+	leaving bool
+	suspect bool
+	fails   int
+	cache   cache
+}
+
+// table is the immutable set of watched targets.
+type table struct {
+	entries map[string]entry
+	names   []string // names is sorted.
+}
+
+// candidate returns the target as the chooser sees it.
+func (e entry) candidate(prefix string) route.Candidate {
+	return route.Candidate{
+		Name:    e.target.Name,
+		Address: e.target.Address,
+		Domain:  e.target.Domain,
+		Slots:   e.slots,
+		Own:     int(e.own.Load()),
+		Load:    e.load,
+		Warm:    e.cache.belief(prefix),
+		Suspect: e.suspect,
+	}
+}
+
+// offers tells whether the target takes new work for a model, adapter and version.
+func (e entry) offers(model, adapter, version string) bool {
+	if e.leaving || e.target.Leaving {
+		return false
+	}
+	return conf.Limit{Models: e.target.Models}.Allows(model, adapter, version)
+}
+
+// withEntry returns a table with one entry replaced, if it is there.
+func (t table) withEntry(e entry) table {
+	if _, ok := t.entries[e.target.Name]; !ok {
+		return t
+	}
+	next := table{entries: make(map[string]entry, len(t.entries)), names: t.names}
+	for name, old := range t.entries {
+		next.entries[name] = old
+	}
+	next.entries[e.target.Name] = e
+	return next
+}
