wharfctl, lab: push a sheet, drive the processes and check the promises

Cause: operators need a command line and the path needs a run that a person can read. Change: wharfctl applies declarations, pushes sheets with an audit trail, shows status and drains; lab demo streams, orders, kills an engine, comes back elsewhere and stops an instance; hack/demo.sh starts the processes, so that no program starts another. Ruled out: the lab starting the processes (the users want no process to start another).

--- /dev/null
+++ b/lab/internal/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller is a client of the callers' interface, as the users' own are.
+package caller
--- /dev/null
+++ b/wharfctl/internal/cmd/apply.go
@@ -0,0 +1,109 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"bramleywharf.example/core/decl"
+	"bramleywharf.example/core/store"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+)
+
+// newApply returns the command that applies declaration files.
+func newApply(a *app) *cobra.Command {
+	var dryRun bool
+	c := &cobra.Command{
+		Use:   "apply FILE...",
+		Short: "Make the platform hold what declaration files say",
+		Long: `Make the platform hold what declaration files say.
+
+Files are YAML with models, organisations, services and targets by name. All
+files are checked before anything is written. Objects that no file names are
+left as they are.`,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			declared, err := parseFiles(args)
+			if err != nil {
+				return err
+			}
+			return a.apply(c.Context(), declared, dryRun)
+		},
+	}
+	c.Flags().BoolVar(&dryRun, "dry-run", false, "show what would change and write nothing")
+	return c
+}
+
+// apply writes the objects that differ from what stands.
+func (a *app) apply(ctx context.Context, declared []decl.Declared, dryRun bool) error {
+	trail, s, err := a.trail()
+	if err != nil {
+		return err
+	}
+	changed := 0
+	for _, d := range declared {
+		o, err := s.Get(ctx, d.Key.Kind, d.Key.Name)
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			return fmt.Errorf("read %s/%s: %w", d.Key.Kind, d.Key.Name, err)
+		}
+		if err == nil && sameJSON(o.Value, d.Raw) {
+			continue
+		}
+		changed++
+		a.lines(fmt.Sprintf("%s/%s: %s -> %s", d.Key.Kind, d.Key.Name, orNone(o.Value), d.Raw))
+		if dryRun {
+			continue
+		}
+		next := store.Object{Kind: d.Key.Kind, Name: d.Key.Name, Revision: o.Revision, Value: d.Raw}
+		if _, err := trail.Change(ctx, a.who, next, []string{string(d.Raw)}); err != nil {
+			return fmt.Errorf("write %s/%s: %w", d.Key.Kind, d.Key.Name, err)
+		}
+	}
+	a.lines(fmt.Sprintf("%d of %d objects differ", changed, len(declared)))
+	return nil
+}
+
+// orNone returns the text of a value, or a word for none.
+func orNone(value []byte) string {
+	if len(value) == 0 {
+		return "none"
+	}
+	return string(value)
+}
+
+// parseFiles reads and checks all files.
+func parseFiles(names []string) ([]decl.Declared, error) {
+	var declared []decl.Declared
+	var faults []string
+	for _, name := range names {
+		text, err := readFile(name)
+		if err != nil {
+			return nil, err
+		}
+		objects, errs := decl.Parse(text)
+		declared = append(declared, objects...)
+		for _, e := range errs {
+			faults = append(faults, name+": "+e.Error())
+		}
+	}
+	if len(faults) > 0 {
+		return nil, fmt.Errorf("declarations %w, nothing was changed:\n  %s", errRejected, strings.Join(faults, "\n  "))
+	}
+	slices.SortFunc(declared, func(a, b decl.Declared) int {
+		return strings.Compare(a.Key.Kind+"/"+a.Key.Name, b.Key.Kind+"/"+b.Key.Name)
+	})
+	return declared, nil
+}
+
+// sameJSON tells whether two encodings hold the same text apart from white space.
+func sameJSON(a, b json.RawMessage) bool {
+	var left, right bytes.Buffer
+	if json.Compact(&left, a) != nil || json.Compact(&right, b) != nil {
+		return false
+	}
+	return bytes.Equal(left.Bytes(), right.Bytes())
+}
--- /dev/null
+++ b/wharfctl/internal/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package cmd is the operators' command line, one file for each subcommand.
+package cmd
--- /dev/null
+++ b/wharfctl/internal/cmd/hash.go
@@ -0,0 +1,28 @@
+package cmd
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+)
+
+// newHash returns the command that hashes a key for a declaration or a setting.
+func newHash(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:   "hash FILE",
+		Short: "Print the hash of the key in a file, or of standard input for a dash",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			key, err := readFile(args[0])
+			if err != nil {
+				return err
+			}
+			sum := sha256.Sum256([]byte(strings.TrimSpace(string(key))))
+			_, err = fmt.Fprintln(a.out, hex.EncodeToString(sum[:]))
+			return err
+		},
+	}
+}
