--- a/core/flow/gaps.go
+++ b/core/flow/gaps.go
@@ -22,10 +22,10 @@
 	count     int
 }
 
-// Patience returns how long silence is explained by the gaps seen so far.
+// Patience returns how long silence after a token is explained by the gaps seen so far.
 func (g Gaps) Patience() time.Duration {
 	if g.count == 0 {
-		return FirstTokenPatience
+		return MaxPatience
 	}
 	patience := 2*g.mean + gapTolerance*g.deviation
 	return min(max(patience, MinPatience), MaxPatience)
--- a/core/token/cursor.go
+++ b/core/token/cursor.go
@@ -33,7 +33,7 @@
 	Keeper  string `cbor:"10,keyasint,omitempty"` // Keeper is the peer that holds a copy of the generation's log.
 	Seed    uint64 `cbor:"11,keyasint"`
 	Max     int    `cbor:"12,keyasint"` // Max is the request's bound of tokens.
-	Owner   string `cbor:"13,keyasint"` // Owner is the instance that started the attempt.
+	Owner   string `cbor:"13,keyasint"` // Owner names the run that started the attempt.
 }
 
 // WithProgress returns a cursor that stands after offset tokens of an owner's attempt on a target.
--- a/entry/internal/boot/instance.go
+++ b/entry/internal/boot/instance.go
@@ -5,28 +5,17 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"bramleywharf.example/core/member"
 	"bramleywharf.example/core/peer"
 	"bramleywharf.example/core/store"
-	"bramleywharf.example/core/token"
 	"bramleywharf.example/core/wire"
 	"bramleywharf.example/entry/internal/admin"
-	"bramleywharf.example/entry/internal/chain"
 	"bramleywharf.example/entry/internal/engine"
-	"bramleywharf.example/entry/internal/filter"
-	"bramleywharf.example/entry/internal/fleet"
 	"bramleywharf.example/entry/internal/front"
-	"bramleywharf.example/entry/internal/keep"
-	"bramleywharf.example/entry/internal/lend"
-	"bramleywharf.example/entry/internal/once"
-	"bramleywharf.example/entry/internal/pool"
-	"bramleywharf.example/entry/internal/relay"
-	"bramleywharf.example/entry/internal/serve"
-	"bramleywharf.example/entry/internal/watch"
+	"bramleywharf.example/entry/internal/node"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 )
@@ -41,13 +30,7 @@
 	settings Settings
 	log      log.Interface
 	peers    *peer.Quic
-	fleet    *fleet.Fleet
-	watch    *watch.Watch
-	pool     *pool.Pool
-	keep     *keep.Keep
-	lend     *lend.Lend
-	once     *once.Once
-	issuer   *once.Issuer
+	node     *node.Node
 	front    *front.Front
 	callers  *http.Server
 	admin    *http.Server
@@ -60,10 +43,6 @@
 // Start starts an instance with checked settings.
 func Start(s Settings, logger log.Interface) (*Instance, error) {
 	set := metrics.NewSet()
-	sealer, err := token.NewSealer([]byte(s.FleetSecret))
-	if err != nil {
-		return nil, fmt.Errorf("set up event ids: %w", err)
-	}
 	i := &Instance{
 		settings: s,
 		log:      logger,
@@ -72,13 +51,20 @@
 		done:     make(chan struct{}),
 	}
 	ready := make(chan struct{})
+	var err error
 	i.peers, err = peer.NewQuic(s.PeerListen, []byte(s.FleetSecret), i.handlePeer(ready), set)
 	if err != nil {
 		return nil, fmt.Errorf("start peer transport: %w", err)
 	}
-	if err := i.build(set, sealer); err != nil {
+	i.node, err = node.New(s.node(), node.Borders{
+		Platform: store.NewHTTP(s.Platform, s.PlatformToken, http.DefaultTransport),
+		Engines:  engine.NewHTTP(nil),
+		Services: engine.NewCaller(nil),
+		Peers:    i.peers,
+	}, logger, set)
+	if err != nil {
 		i.peers.Close()
-		return nil, err
+		return nil, fmt.Errorf("start controllers: %w", err)
 	}
 	close(ready)
 	if err := i.listen(set); err != nil {
@@ -107,46 +93,9 @@
 	})
 }
 
-// build puts the controllers and the chain together.
-func (i *Instance) build(set *metrics.Set, sealer *token.Sealer) error {
-	s := i.settings
-	platform := store.NewCounted(store.NewHTTP(s.Platform, s.PlatformToken, http.DefaultTransport), set)
-	engines := engine.NewHTTP(nil)
-	epoch := uint64(time.Now().UnixMilli())
-	self := member.Member{
-		Name:          s.Name,
-		Domain:        s.Domain,
-		CallerAddress: orElse(s.Advertise, s.Listen),
-		PeerAddress:   orElse(s.PeerAdvertise, s.PeerListen),
-		Incarnation:   epoch,
-	}
-	i.watch = watch.New(platform, i.peers, i.log, set)
-	i.fleet = fleet.New(fleet.Settings{Self: self, Seeds: s.Seeds}, i.peers, platform, i.watch, i.log, set)
-	i.watch.Start(i.fleet)
-	i.pool = pool.New(pool.Settings{Self: s.Name, Domain: s.Domain, Subset: s.Subset}, i.watch, engines, i.log, set)
-	i.keep = keep.New(keep.Settings{Costly: s.Costly, Linger: s.Linger}, i.fleet, i.pool, engines, i.peers, set)
-	i.lend = lend.New(i.fleet, i.watch, i.peers, set)
-	issuer, err := once.NewIssuer(s.Name, epoch, []byte(s.FleetSecret), i.fleet, i.peers)
-	if err != nil {
-		return fmt.Errorf("set up issued keys: %w", err)
-	}
-	i.issuer = issuer
-	i.once = once.New(s.Name, platform, i.pool, engine.NewCaller(nil), issuer, set)
-	runner := relay.New(s.Name, engines, i.pool, i.keep, sealer, set)
-	server := serve.New(i.fleet, runner, i.once, i.keep, i.peers, sealer)
-	handler := chain.Build(server.Handle,
-		filter.NewRecord(set, i.log),
-		filter.NewIdentify(i.watch),
-		filter.Check{},
-		filter.NewLimit(i.lend),
-	)
-	i.front = front.New(handler, issuer)
-	return nil
-}
-
 // drain lets callers find other instances, then waits for the last call.
 func (i *Instance) drain() {
-	i.fleet.Leave()
+	i.node.Fleet.Leave()
 	time.Sleep(i.settings.LameDuck)
 	i.front.Shut()
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.DrainTimeout)
@@ -154,7 +103,6 @@
 	if err := i.callers.Shutdown(ctx); err != nil {
 		i.log.WithError(err).Error("drain timeout passed; calls are cut")
 	}
-	i.once.Close()
 	i.stop()
 	i.log.Info("stopped")
 }
@@ -167,33 +115,19 @@
 		case <-ctx.Done():
 			return wire.Failed{Reason: "not ready"}
 		}
-		switch m := m.(type) {
-		case wire.Gossip:
-			return i.fleet.Handle(ctx, m)
-		case wire.PullConfig:
-			return i.watch.Handle(m)
-		case wire.Keep:
-			return i.keep.Handle(m)
-		case wire.Adopt:
-			return i.keep.Adopt(m)
-		case wire.Borrow:
-			return i.lend.Handle(m)
-		case wire.Spend:
-			return i.spend(ctx, m)
-		default:
-			return wire.Failed{Reason: "not a question"}
-		}
+		return i.node.HandlePeer(ctx, m)
 	}
 }
 
 // listen starts the servers for callers and operators.
 func (i *Instance) listen(set *metrics.Set) error {
+	i.front = front.New(i.node.Handle, i.node.Issuer)
 	i.callers = &http.Server{Handler: i.front, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader}
 	operators := admin.New(admin.Parts{
 		Set:          set,
-		Watch:        i.watch,
-		Fleet:        i.fleet,
-		Pool:         i.pool,
+		Watch:        i.node.Watch,
+		Fleet:        i.node.Fleet,
+		Pool:         i.node.Pool,
 		OperatorHash: i.settings.OperatorHash,
 		Leave:        i.Leave,
 		Leaving:      i.leaving,
@@ -222,16 +156,7 @@
 	return nil
 }
 
-// spend runs a call for a peer whose caller brought a key that was issued here.
-func (i *Instance) spend(ctx context.Context, m wire.Spend) wire.Message {
-	service, ok := i.watch.Snapshot().Service(m.Service)
-	if !ok {
-		return wire.Failed{Reason: "unknown service " + strconv.Quote(m.Service)}
-	}
-	return i.issuer.Handle(ctx, i.once, serve.Declared(service, m.Method, m.Path), m)
-}
-
-// stop ends the controllers, those that use others first.
+// stop ends the servers and the node.
 func (i *Instance) stop() {
 	if i.admin != nil {
 		_ = i.admin.Close()
@@ -239,15 +164,29 @@
 	if i.callers != nil {
 		_ = i.callers.Close()
 	}
-	i.lend.Close()
-	i.keep.Stop()
-	i.pool.Close()
-	i.watch.Close()
-	i.fleet.Close()
+	i.node.Close()
 	i.peers.Close()
 	close(i.done)
 }
 
+// node returns the settings of the instance's inside; the incarnation grows with each start.
+func (s Settings) node() node.Settings {
+	return node.Settings{
+		Self: member.Member{
+			Name:          s.Name,
+			Domain:        s.Domain,
+			CallerAddress: orElse(s.Advertise, s.Listen),
+			PeerAddress:   orElse(s.PeerAdvertise, s.PeerListen),
+			Incarnation:   uint64(time.Now().UnixMilli()),
+		},
+		Secret: []byte(s.FleetSecret),
+		Seeds:  s.Seeds,
+		Subset: s.Subset,
+		Costly: s.Costly,
+		Linger: s.Linger,
+	}
+}
+
 // orElse returns a value or, when it is empty, another.
 func orElse(value, other string) string {
 	if value == "" {
--- a/entry/internal/filter/limit.go
+++ b/entry/internal/filter/limit.go
@@ -11,6 +11,8 @@
 type Ceilings interface {
 	// Acquire takes a slot of an organisation's ceiling until release is called.
 	Acquire(ctx context.Context, organisation string) (release func(), err error)
+	// Take takes a slot whether one is free or not.
+	Take(organisation string) (release func())
 }
 
 // Limit holds generations to their organisation's ceiling; calls of plain services pass at once.
@@ -25,10 +27,13 @@
 	return &Limit{ceilings: ceilings}
 }
 
-// Handle passes generations on that hold a slot.
+// Handle passes generations on that hold a slot; one that is resumed runs already, so it takes its slot along.
 func (l *Limit) Handle(ctx context.Context, c chain.Call, next chain.Handler) chain.Answer {
 	switch c.Request.(type) {
-	case chain.Generate, chain.Resume:
+	case chain.Resume:
+		defer l.ceilings.Take(c.Organisation)()
+		return next(ctx, c)
+	case chain.Generate:
 		release, err := l.ceilings.Acquire(ctx, c.Organisation)
 		if err != nil {
 			return chain.Refuse(deny.New(deny.KindLimit, "%v: %d generations at once", err, c.Limit.Ceiling).WithRetryAfter(retryAfter))
--- a/entry/internal/lend/lend.go
+++ b/entry/internal/lend/lend.go
@@ -124,6 +124,14 @@
 	return int(l.account(organisation).running.Load())
 }
 
+// Take takes a slot whether one is free or not.
+func (l *Lend) Take(organisation string) (release func()) {
+	a := l.account(organisation)
+	a.used.Store(int64(l.now()))
+	a.running.Add(1)
+	return a.release
+}
+
 // account returns the account of an organisation.
 func (l *Lend) account(organisation string) *account {
 	if a, ok := l.accounts.Load(organisation); ok {
--- /dev/null
+++ b/entry/internal/node/doc.go
@@ -0,0 +1,3 @@
+// Package node puts the controllers and the chain of one entry instance
+// together over its borders, whatever carries them.
+package node
--- /dev/null
+++ b/entry/internal/node/node.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"bramleywharf.example/core/member"
+	"bramleywharf.example/core/peer"
+	"bramleywharf.example/core/store"
+	"bramleywharf.example/core/token"
+	"bramleywharf.example/core/wire"
+	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/internal/engine"
+	"bramleywharf.example/entry/internal/filter"
+	"bramleywharf.example/entry/internal/fleet"
+	"bramleywharf.example/entry/internal/keep"
+	"bramleywharf.example/entry/internal/lend"
+	"bramleywharf.example/entry/internal/once"
+	"bramleywharf.example/entry/internal/pool"
+	"bramleywharf.example/entry/internal/relay"
+	"bramleywharf.example/entry/internal/serve"
+	"bramleywharf.example/entry/internal/watch"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+)
+
+// Settings configures a node.
+type Settings struct {
+	Self   member.Member
+	Secret []byte
+	Seeds  []string
+	Subset int           // Subset bounds the engines watched for each model.
+	Costly int           // Costly is the number of tokens from which a generation's text is copied.
+	Linger time.Duration // Linger is how long a generation goes on after its caller left.
+}
+
+// Borders are the ways out of a node.
+type Borders struct {
+	Platform store.Store
+	Engines  engine.Client
+	Services engine.Caller
+	Peers    peer.Net
+}
+
+// Node is the inside of an entry instance.
+type Node struct {
+	Fleet   *fleet.Fleet
+	Issuer  *once.Issuer
+	Pool    *pool.Pool
+	Watch   *watch.Watch
+	handler chain.Handler
+	keep    *keep.Keep
+	lend    *lend.Lend
+	once    *once.Once
+	done    chan struct{}
+}
+
+// New starts the controllers of a node.
+func New(s Settings, b Borders, logger log.Interface, set *metrics.Set) (*Node, error) {
+	sealer, err := token.NewSealer(s.Secret)
+	if err != nil {
+		return nil, fmt.Errorf("set up event ids: %w", err)
+	}
+	n := &Node{done: make(chan struct{})}
+	platform := store.NewCounted(b.Platform, set)
+	n.Watch = watch.New(platform, b.Peers, logger, set)
+	n.Fleet = fleet.New(fleet.Settings{Self: s.Self, Seeds: s.Seeds}, b.Peers, platform, n.Watch, logger, set)
+	n.Watch.Start(n.Fleet)
+	n.Pool = pool.New(pool.Settings{Self: s.Self.Name, Domain: s.Self.Domain, Subset: s.Subset}, n.Watch, b.Engines, set)
+	n.keep = keep.New(keep.Settings{Costly: s.Costly, Linger: s.Linger}, n.Fleet, n.Pool, b.Engines, b.Peers, set)
+	n.lend = lend.New(n.Fleet, n.Watch, b.Peers, set)
+	n.Issuer, err = once.NewIssuer(s.Self.Name, s.Self.Incarnation, s.Secret, n.Fleet, b.Peers)
+	if err != nil {
+		n.Close()
+		return nil, fmt.Errorf("set up issued keys: %w", err)
+	}
+	n.once = once.New(s.Self.Name, platform, n.Pool, b.Services, n.Issuer, set)
+	runner := relay.New(b.Engines, n.Pool, n.keep, sealer, set)
+	server := serve.New(n.Fleet, runner, n.once, n.keep, b.Peers, sealer)
+	n.handler = chain.Build(server.Handle,
+		filter.NewRecord(set, logger),
+		filter.NewIdentify(n.Watch),
+		filter.Check{},
+		filter.NewLimit(n.lend),
+	)
+	return n, nil
+}
+
+// Close records the outcomes still open and stops the controllers, those that use others first.
+func (n *Node) Close() {
+	if n.once != nil {
+		n.once.Close()
+	}
+	n.lend.Close()
+	n.keep.Stop()
+	n.Pool.Close()
+	n.Watch.Close()
+	n.Fleet.Close()
+	close(n.done)
+}
+
+// Done is closed when the node has stopped.
+func (n *Node) Done() <-chan struct{} {
+	return n.done
+}
+
+// Handle answers a call by way of the chain.
+func (n *Node) Handle(ctx context.Context, c chain.Call) chain.Answer {
+	return n.handler(ctx, c)
+}
+
+// HandlePeer answers a message of another instance.
+func (n *Node) HandlePeer(ctx context.Context, m wire.Message) wire.Message {
+	switch m := m.(type) {
+	case wire.Gossip:
+		return n.Fleet.Handle(ctx, m)
+	case wire.PullConfig:
+		return n.Watch.Handle(m)
+	case wire.Keep:
+		return n.keep.Handle(m)
+	case wire.Adopt:
+		return n.keep.Adopt(m)
+	case wire.Borrow:
+		return n.lend.Handle(m)
+	case wire.Spend:
+		return n.spend(ctx, m)
+	default:
+		return wire.Failed{Reason: "not a question"}
+	}
+}
+
+// spend runs a call for a peer whose caller brought a key that was issued here.
+func (n *Node) spend(ctx context.Context, m wire.Spend) wire.Message {
+	service, ok := n.Watch.Snapshot().Service(m.Service)
+	if !ok {
+		return wire.Failed{Reason: "unknown service " + strconv.Quote(m.Service)}
+	}
+	return n.Issuer.Handle(ctx, n.once, serve.Declared(service, m.Method, m.Path), m)
+}
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -13,7 +13,6 @@
 	"bramleywharf.example/core/route"
 	"bramleywharf.example/entry/internal/engine"
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/apex/log"
 )
 
 const (
@@ -41,7 +40,6 @@
 	settings Settings
 	source   Source
 	engines  engine.Client
-	log      log.Interface
 	table    *cell.Cell[table]
 	cancel   context.CancelFunc
 	done     chan struct{}
@@ -51,12 +49,11 @@
 }
 
 // New returns a pool that watches the targets of a source.
-func New(s Settings, source Source, engines engine.Client, logger log.Interface, set *metrics.Set) *Pool {
+func New(s Settings, source Source, engines engine.Client, set *metrics.Set) *Pool {
 	p := &Pool{
 		settings: s,
 		source:   source,
 		engines:  engines,
-		log:      logger,
 		table:    cell.New(table{}),
 		done:     make(chan struct{}),
 		fails:    set.GetOrCreateCounter("bramleywharf_target_reports_missed_total"),
--- a/entry/internal/relay/attempt.go
+++ b/entry/internal/relay/attempt.go
@@ -15,7 +15,7 @@
 type attempt struct {
 	number  int
 	target  route.Candidate
-	owner   string // owner is the instance that started the attempt.
+	owner   string // owner is the run that started the attempt.
 	id      string
 	next    int       // next is the offset that the current reader should send.
 	heard   time.Time // heard is when the attempt last gave a sign of life.
@@ -53,7 +53,7 @@
 func (failed) isEvent()   {}
 func (probed) isEvent()   {}
 
-// attemptID names an attempt at engines; the owner keeps apart what two instances start for the same request.
+// attemptID names an attempt at engines; the owner keeps apart what two runs start for the same request.
 func attemptID(request string, number int, owner string) string {
 	return request + "." + strconv.Itoa(number) + "." + owner
 }
--- a/entry/internal/relay/recover.go
+++ b/entry/internal/relay/recover.go
@@ -42,7 +42,7 @@
 	return g.base
 }
 
-// newAttempt adds an attempt on a target, started by the instance that is its owner.
+// newAttempt adds an attempt on a target, started by the run that is its owner.
 func (g *run) newAttempt(number int, target route.Candidate, owner string) *attempt {
 	a := &attempt{
 		number:  number,
@@ -108,7 +108,7 @@
 	} else {
 		g.lineage, number = g.lineage.WithAttempt()
 	}
-	a := g.newAttempt(number, target, g.relay.self)
+	a := g.newAttempt(number, target, g.owner)
 	forced := g.forced(fromZero)
 	a.next = len(forced)
 	request := engine.Request{ID: a.id, Spec: g.job.Spec, Forced: forced}
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	heartbeat    = 5 * time.Second        // heartbeat is the longest silence towards a caller.
+	heartbeat    = time.Second            // heartbeat is the longest silence towards a caller, so that one may give a connection up in time for the 3 s resume bound.
 	probeTimeout = 300 * time.Millisecond // probeTimeout bounds a probe on a fresh connection.
 	cancelBound  = 2 * time.Second        // cancelBound bounds the order to stop a generation.
 	pickPause    = 100 * time.Millisecond // pickPause is the wait before targets are looked at again.
@@ -72,7 +72,6 @@
 
 // Relay runs generations.
 type Relay struct {
-	self    string
 	engines engine.Client
 	picker  Picker
 	journal Journal
@@ -94,10 +93,9 @@
 	divergences *metrics.Counter
 }
 
-// New returns a relay of the named instance.
-func New(self string, engines engine.Client, picker Picker, journal Journal, sealer *token.Sealer, set *metrics.Set) *Relay {
+// New returns a relay over its borders.
+func New(engines engine.Client, picker Picker, journal Journal, sealer *token.Sealer, set *metrics.Set) *Relay {
 	return &Relay{
-		self:    self,
 		engines: engines,
 		picker:  picker,
 		journal: journal,
--- a/entry/internal/relay/run.go
+++ b/entry/internal/relay/run.go
@@ -12,6 +12,9 @@
 	"bramleywharf.example/entry/internal/engine"
 )
 
+// ownerLength is the length of a run's name, enough that no two runs of a request share one.
+const ownerLength = 12
+
 // maxProbes bounds the suspicions that an engine may answer without sending a token.
 const maxProbes = 4
 
@@ -20,6 +23,7 @@
 	relay    *Relay
 	job      Job
 	sink     chain.Sink
+	owner    string // owner names this run in the ids of the attempts that it starts.
 	entry    Entry
 	cursor   token.Cursor
 	lineage  flow.Lineage
@@ -49,6 +53,7 @@
 		relay:    r,
 		job:      j,
 		sink:     sink,
+		owner:    token.NewID()[:ownerLength],
 		entry:    r.journal.Open(j.Spec, j.Base, j.Texts),
 		cursor:   j.Cursor,
 		lineage:  flow.NewLineage(j.Cursor.Offset, j.Cursor.Hash, j.Cursor.Attempt),
@@ -204,8 +209,11 @@
 	return g.answer
 }
 
-// beat shows the caller that the stream is alive.
+// beat shows the caller that the stream is alive when no token has for a while.
 func (g *run) beat() {
+	if time.Since(g.last) < heartbeat {
+		return
+	}
 	if err := g.sink.Heartbeat(); err != nil {
 		g.leave()
 	}
--- a/entry/internal/serve/serve.go
+++ b/entry/internal/serve/serve.go
@@ -22,6 +22,7 @@
 
 const (
 	adoptBound    = 300 * time.Millisecond // adoptBound bounds the question to a former owner of a generation.
+	originGrace   = 50 * time.Millisecond  // originGrace is how much longer than for the keeper the origin is waited for.
 	addressCount  = 3                      // addressCount is the number of instances named in a look-up.
 	addressLife   = 5 * time.Second        // addressLife is how long callers may keep a look-up.
 	affinityWidth = 6                      // affinityWidth is the number of instances that serve one prompt prefix of an organisation.
@@ -72,28 +73,41 @@
 	}
 }
 
-// adopt asks those who may know a generation for what they hold of it.
+// adopt asks the origin and the keeper of a generation for what they hold of it; the origin knows more, and is not waited for long once the keeper has answered.
 func (s *Server) adopt(ctx context.Context, c token.Cursor) wire.Log {
+	ctx, cancel := context.WithTimeout(ctx, adoptBound)
+	defer cancel()
 	question := wire.Adopt{Request: c.Request, By: s.fleet.Self().Name}
-	for _, name := range []string{c.Origin, c.Keeper} {
-		if name == "" {
-			continue
+	origin, keeper := make(chan wire.Adopted, 1), make(chan wire.Adopted, 1)
+	go func() { origin <- s.ask(ctx, c.Origin, question) }()
+	go func() { keeper <- s.ask(ctx, c.Keeper, question) }()
+	var kept wire.Adopted
+	select {
+	case a := <-origin:
+		if holds(a) {
+			return a.Log
 		}
-		if adopted := s.ask(ctx, name, question); adopted.Found && (adopted.Log.Prompt != "" || len(adopted.Log.Tokens) > 0) {
-			return adopted.Log
+		kept = <-keeper
+	case kept = <-keeper:
+		if a, ok := within(ctx, origin, originGrace); ok && holds(a) {
+			return a.Log
 		}
 	}
+	if holds(kept) {
+		return kept.Log
+	}
 	return wire.Log{}
 }
 
 // ask asks one member to give a generation up.
 func (s *Server) ask(ctx context.Context, name string, question wire.Adopt) wire.Adopted {
 	var answer wire.Message
+	if name == "" {
+		return wire.Adopted{}
+	}
 	if name == s.fleet.Self().Name {
 		answer = s.keeper.Adopt(question)
 	} else if m, ok := s.fleet.View().Get(name); ok && m.State != member.Dead {
-		ctx, cancel := context.WithTimeout(ctx, adoptBound)
-		defer cancel()
 		answer, _ = s.net.Ask(ctx, m.PeerAddress, question)
 	}
 	adopted, _ := answer.(wire.Adopted)
@@ -203,6 +217,22 @@
 	return s.relay.Run(ctx, job, c.Sink)
 }
 
+// holds tells whether an answer brings anything of the generation.
+func holds(a wire.Adopted) bool {
+	return a.Found && (a.Log.Prompt != "" || len(a.Log.Tokens) > 0)
+}
+
+// within waits a little for an answer.
+func within(ctx context.Context, answers <-chan wire.Adopted, d time.Duration) (wire.Adopted, bool) {
+	select {
+	case a := <-answers:
+		return a, true
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+	return wire.Adopted{}, false
+}
+
 // policy returns the recovery policy of a limit.
 func policy(l conf.Limit) flow.Policy {
 	p, ok := flow.ParsePolicy(l.Recovery)
--- a/entry/internal/watch/watch.go
+++ b/entry/internal/watch/watch.go
@@ -230,20 +230,16 @@
 func (w *Watch) watchLoop(ctx context.Context) {
 	pause := backoffBase
 	for ctx.Err() == nil {
-		wait := idlePause
-		if w.roles.Elected("watch", watchers) {
-			wait = 0
-			if err := w.watch(ctx); err != nil {
-				wait = pause/2 + rand.N(pause)
-				pause = min(2*pause, backoffMax)
-			} else {
-				pause = backoffBase
-			}
+		if !w.roles.Elected("watch", watchers) {
+			sleep(ctx, idlePause)
+			continue
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
+		if err := w.watch(ctx); err != nil {
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, backoffMax)
+			continue
 		}
+		pause = backoffBase
 	}
 }
 
@@ -259,3 +255,11 @@
 	w.confirm(time.Now())
 	return nil
 }
+
+// sleep waits unless the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
