--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
-# The whole workflow: demo, test, lint, matrix, bench, slopes.
+# The whole workflow: demo, test, lint, matrix, fuzz, bench, slopes.
 MODULES := core entry lab stand wharfctl
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 PROGRAMS := entry lab stand wharfctl
+SKIP :=
+FUZZ_TIME := 20s
 
-.PHONY: all build demo test lint
+.PHONY: all build demo fuzz lint matrix test
 
 all: build
 
@@ -15,9 +17,13 @@
 	./hack/demo.sh
 
 test:
-	go test -race $(PACKAGES)
+	go test -race $(if $(SKIP),-skip '$(SKIP)') $(PACKAGES)
 
 lint:
 	test -z "$$(gofmt -l $(MODULES))"
 	go vet $(PACKAGES)
 	go tool staticcheck $(PACKAGES)
+
+# Every cell of the fault matrix, with its table; test runs a fixed sample of it.
+matrix:
+	cd entry/internal/proof && go test -count=1 -timeout 30m -matrix-full
--- a/entry/internal/once/issuer.go
+++ b/entry/internal/once/issuer.go
@@ -199,7 +199,7 @@
 	select {
 	case <-s.done:
 		return s.answer
-	case <-ctx.Done():
+	case <-before(ctx).Done():
 		return o.outcomeUnknown("the same key is being handled")
 	}
 }
--- a/entry/internal/once/once.go
+++ b/entry/internal/once/once.go
@@ -140,7 +140,7 @@
 	select {
 	case l.busy <- struct{}{}:
 		defer func() { <-l.busy }()
-	case <-ctx.Done():
+	case <-before(ctx).Done():
 		return o.outcomeUnknown("the same key is being handled")
 	}
 	if l.result != nil {
@@ -171,8 +171,9 @@
 	var c claim
 	var held store.Object
 	var err error
+	waiting := before(ctx)
 	for {
-		c, held, err = o.claims.read(ctx, name)
+		c, held, err = o.claims.read(waiting, name)
 		if err != nil {
 			return o.outcomeUnknown("the key was used before, and the platform does not answer")
 		}
@@ -186,7 +187,7 @@
 		if c.Phase == phaseUnsent || mine {
 			return o.takeOver(ctx, order, l, c, held, targets)
 		}
-		if time.Since(c.At) > callBound || !sleep(ctx, lookPause) {
+		if time.Since(c.At) > callBound || !sleep(waiting, lookPause) {
 			break
 		}
 	}
@@ -253,7 +254,7 @@
 	if order.Declared.StatusPath == "" {
 		return o.outcomeUnknown("the call may have reached the service, which has no status call")
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleBound)
+	ctx, cancel := context.WithTimeout(ctx, settleBound)
 	defer cancel()
 	path := strings.ReplaceAll(order.Declared.StatusPath, "{key}", url.PathEscape(order.Call.Key))
 	result, err := o.caller.Call(ctx, address, engine.Call{Method: http.MethodGet, Path: path})
--- a/entry/internal/proof/engine_test.go
+++ b/entry/internal/proof/engine_test.go
@@ -41,7 +41,6 @@
 	tokens  []string
 	ended   string
 	stopped bool
-	changed chan struct{}
 }
 
 func newFakeEngine(w *world, name string) *fakeEngine {
--- a/entry/internal/proof/generation_test.go
+++ b/entry/internal/proof/generation_test.go
@@ -93,6 +93,9 @@
 
 // pause freezes a process and wakes it later.
 func pause(w *world, name string) {
+	w.mu.Lock()
+	w.paused = true
+	w.mu.Unlock()
 	w.set(name, frozen)
 	later(healAfter, func() {
 		w.mu.Lock()
@@ -179,22 +182,7 @@
 
 // generationCells returns every single fault, every pair, and every fault twice.
 func generationCells() (singles, pairs, twice []cell) {
-	var all []injection
-	for _, name := range slices.Sorted(maps.Keys(generationFaults())) {
-		for _, step := range slices.Sorted(maps.Keys(generationSteps())) {
-			all = append(all, injection{fault: name, step: step})
-		}
-	}
-	for i, a := range all {
-		singles = append(singles, cell{a})
-		twice = append(twice, cell{a, {fault: a.fault, step: again}})
-		for _, b := range all[i+1:] {
-			if a.fault != b.fault {
-				pairs = append(pairs, cell{a, b})
-			}
-		}
-	}
-	return singles, pairs, twice
+	return cells(slices.Sorted(maps.Keys(generationFaults())), slices.Sorted(maps.Keys(generationSteps())))
 }
 
 // runGeneration runs cells under a recovery policy, each as a test of its own.
--- a/entry/internal/proof/matrix_test.go
+++ b/entry/internal/proof/matrix_test.go
@@ -34,6 +34,26 @@
 	return strings.Join(parts, "+")
 }
 
+// cells returns every fault at every step singly, in pairs of different faults, and repeated.
+func cells(faults, steps []string) (singles, pairs, twice []cell) {
+	var all []injection
+	for _, f := range faults {
+		for _, step := range steps {
+			all = append(all, injection{fault: f, step: step})
+		}
+	}
+	for i, a := range all {
+		singles = append(singles, cell{a})
+		twice = append(twice, cell{a, {fault: a.fault, step: again}})
+		for _, b := range all[i+1:] {
+			if a.fault != b.fault {
+				pairs = append(pairs, cell{a, b})
+			}
+		}
+	}
+	return singles, pairs, twice
+}
+
 // tally counts the results of one fault at one step.
 type tally struct {
 	passed, failed, refused int
--- a/entry/internal/proof/world_test.go
+++ b/entry/internal/proof/world_test.go
@@ -54,8 +54,9 @@
 	conditions map[string]condition
 	cuts       map[[2]string]bool
 	changed    chan struct{}
-	hooks      map[string]func()
+	hooks      map[string][]func()
 	allNodes   []*node.Node
+	paused     bool // paused tells whether anything was ever paused.
 }
 
 // newWorld starts nodes, engines and services over a platform that holds a sheet.
@@ -69,7 +70,7 @@
 		conditions: make(map[string]condition),
 		cuts:       make(map[[2]string]bool),
 		changed:    make(chan struct{}),
-		hooks:      make(map[string]func()),
+		hooks:      make(map[string][]func()),
 	}
 	// Go 1.26's race detector crashes when the first timer of a bubble is found due by a select; a sleep first avoids that.
 	time.Sleep(time.Nanosecond)
@@ -138,17 +139,24 @@
 	}
 }
 
-// fire calls a hook once.
-func (w *world) fire(name string) {
+// fire calls the hooks of a point once.
+func (w *world) fire(point string) {
 	w.mu.Lock()
-	hook := w.hooks[name]
-	delete(w.hooks, name)
+	hooks := w.hooks[point]
+	delete(w.hooks, point)
 	w.mu.Unlock()
-	if hook != nil {
+	for _, hook := range hooks {
 		hook()
 	}
 }
 
+// hook calls a function when a point is reached next.
+func (w *world) hook(point string, call func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hooks[point] = append(w.hooks[point], call)
+}
+
 // names returns the names of nodes that run, sorted.
 func (w *world) names() []string {
 	w.mu.Lock()
