stand: open the stand-ins to the tests of other modules

Cause: tests of wharfctl and entry over real HTTP need the stand-ins in process. Change: plat, engine and plain move out of internal. Nothing else changes.

--- a/stand/internal/cmd/engine.go
+++ b/stand/internal/cmd/engine.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"bramleywharf.example/stand/internal/engine"
+	"bramleywharf.example/stand/engine"
 	"github.com/spf13/cobra"
 )
 
--- a/stand/internal/cmd/platform.go
+++ b/stand/internal/cmd/platform.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"bramleywharf.example/stand/internal/plat"
+	"bramleywharf.example/stand/plat"
 	"github.com/spf13/cobra"
 )
 
--- a/stand/internal/cmd/service.go
+++ b/stand/internal/cmd/service.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"bramleywharf.example/stand/internal/plain"
+	"bramleywharf.example/stand/plain"
 	"github.com/spf13/cobra"
 )
 
