--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,9 @@
 # Every cell of the fault matrix, with its table; test runs a fixed sample of it.
 matrix:
 	cd entry/internal/proof && go test -count=1 -timeout 30m -matrix-full
+
+# Every fuzz target for a while; test runs their committed seeds.
+fuzz:
+	go test -fuzz FuzzParse -fuzztime $(FUZZ_TIME) ./core/sheet
+	go test -fuzz FuzzOpen -fuzztime $(FUZZ_TIME) ./core/token
+	go test -fuzz FuzzDecode -fuzztime $(FUZZ_TIME) ./core/wire
--- /dev/null
+++ b/core/token/cursor_test.go
@@ -0,0 +1,89 @@
+package token
+
+import (
+	"testing"
+
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+)
+
+func sealer(c *quicktest.C, secret string) *Sealer {
+	s, err := NewSealer([]byte(secret))
+	c.Assert(err, quicktest.IsNil)
+	return s
+}
+
+func TestSealer(t *testing.T) {
+	cursor := Cursor{Request: "r", Model: "m", Version: "1", Target: "t", Attempt: 2, Offset: 7, Hash: 9, Origin: "o", Keeper: "k", Max: 10}
+	cases := map[string]struct {
+		organisation string
+		secret       string
+		change       func(string) string
+		forged       bool
+	}{
+		"own":             {organisation: "north", secret: "fleet"},
+		"foreign":         {organisation: "south", secret: "fleet", forged: true},
+		"other-fleet":     {organisation: "north", secret: "other", forged: true},
+		"bit-changed":     {organisation: "north", secret: "fleet", change: func(s string) string { return s[:9] + flip(s[9]) + s[10:] }, forged: true},
+		"cut":             {organisation: "north", secret: "fleet", change: func(s string) string { return s[:len(s)-4] }, forged: true},
+		"empty":           {organisation: "north", secret: "fleet", change: func(string) string { return "" }, forged: true},
+		"not-in-alphabet": {organisation: "north", secret: "fleet", change: func(s string) string { return "!" + s[1:] }, forged: true},
+		"too-long":        {organisation: "north", secret: "fleet", change: func(s string) string { return s + string(make([]byte, MaxLength)) }, forged: true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			id, err := sealer(c, "fleet").Seal("north", cursor)
+			c.Assert(err, quicktest.IsNil)
+			if test.change != nil {
+				id = test.change(id)
+			}
+			got, err := sealer(c, test.secret).Open(test.organisation, id)
+			if test.forged {
+				c.Assert(errors.Is(err, ErrForged), quicktest.IsTrue)
+				return
+			}
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(got, quicktest.Equals, cursor)
+		})
+	}
+}
+
+// flip returns another letter of the alphabet.
+func flip(b byte) string {
+	if b == 'A' {
+		return "B"
+	}
+	return "A"
+}
+
+func FuzzOpen(f *testing.F) {
+	s, err := NewSealer([]byte("fleet"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	id, err := s.Seal("north", Cursor{Request: "r"})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(id[:10])
+	f.Fuzz(func(t *testing.T, text string) {
+		if _, err := s.Open("north", text); err == nil && text != id {
+			t.Errorf("opened %q", text)
+		}
+	})
+}
+
+func BenchmarkSeal(b *testing.B) {
+	s, err := NewSealer([]byte("fleet"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	cursor := Cursor{Request: NewID(), Model: "boot-design", Version: "2026-11", Target: "engine-b", Attempt: 1, Offset: 70000, Hash: 1 << 60, Origin: "entry-1", Keeper: "entry-2", Max: 100000, Owner: "ABCDEFGHIJKL"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := s.Seal("north", cursor); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
