--- a/entry/internal/proof/world_test.go
+++ b/entry/internal/proof/world_test.go
@@ -57,6 +57,7 @@
 	hooks      map[string][]func()
 	allNodes   []*node.Node
 	paused     bool // paused tells whether anything was ever paused.
+	refusing   bool // refusing tells whether the platform refuses every call.
 }
 
 // newWorld starts nodes, engines and services over a platform that holds a sheet.
--- a/entry/internal/watch/watch.go
+++ b/entry/internal/watch/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -19,8 +20,9 @@
 
 const (
 	watchers    = 3                       // watchers is the number of instances that watch the platform for all.
+	stickyWatch = 30 * time.Second        // stickyWatch is how long an instance that stepped in goes on watching.
 	watchWait   = 1500 * time.Millisecond // watchWait is how long one watch waits; its return shows that the platform lives.
-	idlePause   = 500 * time.Millisecond  // idlePause is the time between two looks at one's role.
+	idlePause   = 300 * time.Millisecond  // idlePause is the mean time between two looks at one's role.
 	backoffBase = 250 * time.Millisecond  // backoffBase is the first wait after a failed call.
 	backoffMax  = 4 * time.Second         // backoffMax bounds the wait after failed calls.
 	pullTimeout = time.Second             // pullTimeout bounds one pull from a peer.
@@ -28,6 +30,20 @@
 	StaleAfter = 4 * time.Second
 )
 
+// stepIn holds from which age of the configuration how many instances watch, since those elected seem to be cut off.
+func stepIn(age time.Duration) int {
+	switch {
+	case age < 2200*time.Millisecond:
+		return watchers
+	case age < 2500*time.Millisecond:
+		return 4 * watchers
+	case age < 2800*time.Millisecond:
+		return 16 * watchers
+	default:
+		return math.MaxInt
+	}
+}
+
 // ErrStale is returned while this instance cannot know what configuration is in force.
 var ErrStale = errors.New("instance is cut off from the platform and from most peers")
 
@@ -226,12 +242,14 @@
 	}
 }
 
-// watchLoop watches the platform while this instance is elected.
+// watchLoop watches the platform while this instance is elected or steps in.
 func (w *Watch) watchLoop(ctx context.Context) {
 	pause := backoffBase
+	var sticky time.Time
 	for ctx.Err() == nil {
-		if !w.roles.Elected("watch", watchers) {
-			sleep(ctx, idlePause)
+		elected := w.roles.Elected("watch", watchers)
+		if !elected && time.Now().After(sticky) && !w.roles.Elected("watch", stepIn(w.Age())) {
+			sleep(ctx, idlePause/2+rand.N(idlePause))
 			continue
 		}
 		if err := w.watch(ctx); err != nil {
@@ -240,6 +258,9 @@
 			continue
 		}
 		pause = backoffBase
+		if !elected && !time.Now().Before(sticky) {
+			sticky = time.Now().Add(stickyWatch)
+		}
 	}
 }
 
