--- /dev/null
+++ b/core/peer/quic_test.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"bramleywharf.example/core/wire"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/frankban/quicktest"
+)
+
+// start returns an instance's transport that answers every pull with a page.
+func start(c *quicktest.C, address, secret string) *Quic {
+	q, err := NewQuic(address, []byte(secret), func(_ context.Context, m wire.Message) wire.Message {
+		p, ok := m.(wire.PullConfig)
+		if !ok {
+			return wire.Failed{Reason: "not a pull"}
+		}
+		return wire.ConfigPage{Revision: p.After + 1}
+	}, metrics.NewSet())
+	c.Assert(err, quicktest.IsNil)
+	return q
+}
+
+func TestAsk(t *testing.T) {
+	cases := map[string]struct {
+		secret string // secret is that of the instance that asks.
+		ask    wire.Message
+		want   wire.Message
+		fails  bool
+	}{
+		"answered":        {secret: "fleet", ask: wire.PullConfig{After: 4}, want: wire.ConfigPage{Revision: 5}},
+		"refused":         {secret: "fleet", ask: wire.Keep{From: "a"}, fails: true},
+		"another-fleet":   {secret: "stranger", ask: wire.PullConfig{}, fails: true},
+		"large-questions": {secret: "fleet", ask: wire.PullConfig{After: 1 << 40}, want: wire.ConfigPage{Revision: 1<<40 + 1}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			server := start(c, "127.0.0.1:0", "fleet")
+			defer server.Close()
+			client := start(c, "127.0.0.1:0", test.secret)
+			defer client.Close()
+			got, err := client.Ask(t.Context(), server.Address(), test.ask)
+			c.Assert(err != nil, quicktest.Equals, test.fails, quicktest.Commentf("%v", err))
+			if !test.fails {
+				c.Assert(got, quicktest.DeepEquals, test.want)
+			}
+		})
+	}
+}
+
+// TestAskAfterRestart checks that a peer that comes back at its address is asked over a fresh connection.
+func TestAskAfterRestart(t *testing.T) {
+	c := quicktest.New(t)
+	client := start(c, "127.0.0.1:0", "fleet")
+	defer client.Close()
+	server := start(c, "127.0.0.1:0", "fleet")
+	address := server.Address()
+	for range 3 {
+		_, err := client.Ask(t.Context(), address, wire.PullConfig{})
+		c.Assert(err, quicktest.IsNil)
+		server.Close()
+		server = start(c, address, "fleet")
+		limit := time.Now().Add(10 * time.Second)
+		for {
+			if _, err := client.Ask(t.Context(), address, wire.PullConfig{}); err == nil {
+				break
+			}
+			c.Assert(time.Now().Before(limit), quicktest.IsTrue)
+		}
+	}
+	server.Close()
+}
+
+func TestAskConcurrently(t *testing.T) {
+	c := quicktest.New(t)
+	server := start(c, "127.0.0.1:0", "fleet")
+	defer server.Close()
+	client := start(c, "127.0.0.1:0", "fleet")
+	defer client.Close()
+	var group sync.WaitGroup
+	for i := range 200 {
+		group.Go(func() {
+			got, err := client.Ask(t.Context(), server.Address(), wire.PullConfig{After: uint64(i)})
+			c.Check(err, quicktest.IsNil)
+			c.Check(got, quicktest.DeepEquals, wire.Message(wire.ConfigPage{Revision: uint64(i) + 1}))
+		})
+	}
+	group.Wait()
+}
