pool: one budget of watched engines, shared by the models

Cause: 12 engines for each of 6 models are 48 reports and 48 readings of cache events a second for each instance, by the sizes of the messages about 45 KB/s of the 25 KB/s allowed. Change: a budget of 24 engines shared by the models, 3 at the least for each; cache events are read with every fourth report. Ruled out: a longer time between reports for more engines (load would lag 7 s).

--- a/entry/internal/boot/instance.go
+++ b/entry/internal/boot/instance.go
@@ -181,7 +181,7 @@
 		},
 		Secret: []byte(s.FleetSecret),
 		Seeds:  s.Seeds,
-		Subset: s.Subset,
+		Budget: s.Budget,
 		Costly: s.Costly,
 		Linger: s.Linger,
 	}
--- a/entry/internal/boot/instance_test.go
+++ b/entry/internal/boot/instance_test.go
@@ -84,7 +84,7 @@
 	s := Settings{
 		Name: name, Domain: "d", Platform: r.platform, FleetSecret: "0123456789abcdef", OperatorHash: hash(operatorKey),
 		Listen: freePort(r.c, "tcp"), PeerListen: freePort(r.c, "udp"), AdminListen: freePort(r.c, "tcp"),
-		Seeds: seeds, Subset: 4, Costly: 8, Linger: time.Second, DrainTimeout: 20 * time.Second,
+		Seeds: seeds, Budget: 12, Costly: 8, Linger: time.Second, DrainTimeout: 20 * time.Second,
 	}
 	r.c.Assert(s.Check(), quicktest.IsNil)
 	i, err := Start(s, &log.Logger{Handler: discard.New(), Level: log.ErrorLevel})
@@ -340,7 +340,7 @@
 func TestSettingsCheck(t *testing.T) {
 	good := Settings{
 		Name: "i", Domain: "d", Platform: "http://127.0.0.1:1", FleetSecret: "0123456789abcdef", OperatorHash: hash("x"),
-		Listen: "127.0.0.1:1", PeerListen: "127.0.0.1:2", AdminListen: "127.0.0.1:3", Subset: 1, Costly: 1,
+		Listen: "127.0.0.1:1", PeerListen: "127.0.0.1:2", AdminListen: "127.0.0.1:3", Budget: 24, Costly: 1,
 	}
 	cases := map[string]struct {
 		change func(s *Settings)
--- a/entry/internal/boot/settings.go
+++ b/entry/internal/boot/settings.go
@@ -28,7 +28,7 @@
 	FleetSecret   string
 	OperatorHash  string
 	Seeds         []string
-	Subset        int
+	Budget        int
 	Costly        int
 	Linger        time.Duration
 	LameDuck      time.Duration
@@ -50,7 +50,7 @@
 	flags.StringVar(&s.FleetSecret, "fleet-secret", "", "secret that all instances share; event ids and peer connections rest on it")
 	flags.StringVar(&s.OperatorHash, "operator-key-hash", "", "SHA-256 hash, in hexadecimal, of the key that operators show")
 	flags.StringSliceVar(&s.Seeds, "seeds", nil, "peer addresses to ask when the platform's list cannot be had")
-	flags.IntVar(&s.Subset, "target-subset", 12, "engines watched for each model")
+	flags.IntVar(&s.Budget, "target-budget", 24, "engines watched, shared evenly by the models declared, at least 3 for each")
 	flags.IntVar(&s.Costly, "costly-after", 64, "tokens after which a generation is copied to a keeper")
 	flags.DurationVar(&s.Linger, "linger", 15*time.Second, "time that a generation goes on after its caller left")
 	flags.DurationVar(&s.LameDuck, "lame-duck", 5*time.Second, "time in which a leaving instance still takes new calls, at least the life of an address answer")
@@ -72,7 +72,7 @@
 	c.Need(len(s.FleetSecret) >= minSecret, "--fleet-secret needs at least %d bytes", minSecret)
 	hash, err := hex.DecodeString(s.OperatorHash)
 	c.Need(err == nil && len(hash) == 32, "--operator-key-hash must be 64 hexadecimal digits")
-	c.Need(s.Subset > 0, "--target-subset must be at least 1")
+	c.Need(s.Budget > 0, "--target-budget must be at least 1")
 	c.Need(s.Costly > 0, "--costly-after must be at least 1")
 	c.Need(s.Linger >= 0, "--linger must not be negative")
 	c.Need(s.LameDuck >= 0 && s.DrainTimeout >= 0, "--lame-duck and --drain-timeout must not be negative")
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -31,7 +31,7 @@
 	Self   member.Member
 	Secret []byte
 	Seeds  []string
-	Subset int           // Subset bounds the engines watched for each model.
+	Budget int           // Budget is the number of engines watched, shared evenly by the models.
 	Costly int           // Costly is the number of tokens from which a generation's text is copied.
 	Linger time.Duration // Linger is how long a generation goes on after its caller left.
 }
@@ -68,7 +68,7 @@
 	n.Watch = watch.New(platform, b.Peers, logger, set)
 	n.Fleet = fleet.New(fleet.Settings{Self: s.Self, Seeds: s.Seeds}, b.Peers, platform, n.Watch, logger, set)
 	n.Watch.Start(n.Fleet)
-	n.Pool = pool.New(pool.Settings{Self: s.Self.Name, Domain: s.Self.Domain, Subset: s.Subset}, n.Watch, b.Engines, set)
+	n.Pool = pool.New(pool.Settings{Self: s.Self.Name, Domain: s.Self.Domain, Budget: s.Budget}, n.Watch, b.Engines, set)
 	n.keep = keep.New(keep.Settings{Costly: s.Costly, Linger: s.Linger}, n.Fleet, n.Pool, b.Engines, b.Peers, set)
 	n.lend = lend.New(n.Fleet, n.Watch, b.Peers, set)
 	n.Issuer, err = once.NewIssuer(s.Self.Name, s.Self.Incarnation, s.Secret, n.Fleet, b.Peers)
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -19,6 +19,8 @@
 	reconcilePeriod = 250 * time.Millisecond  // reconcilePeriod is the time between two looks at the configuration.
 	pollPeriod      = 1500 * time.Millisecond // pollPeriod is the time between two reports of one target.
 	pollTimeout     = time.Second
+	cacheEvery      = 4 // cacheEvery is the number of reports for each reading of cache events.
+	leastSubset     = 3 // leastSubset is the number of engines watched for a model at the least, so that two may be lost.
 	failsToSuspect  = 2 // failsToSuspect is the number of missed reports that make a target suspect.
 )
 
@@ -32,7 +34,7 @@
 type Settings struct {
 	Self   string
 	Domain string
-	Subset int // Subset bounds the engines watched for each model.
+	Budget int // Budget is the number of engines watched, shared evenly by the models declared.
 }
 
 // Pool watches targets.
@@ -45,6 +47,7 @@
 	done     chan struct{}
 	fails    *metrics.Counter
 	polled   map[string]time.Time // polled is owned by the loop.
+	polls    map[string]int       // polls is owned by the loop.
 	seen     conf.Revision        // seen is owned by the loop.
 }
 
@@ -58,6 +61,7 @@
 		done:     make(chan struct{}),
 		fails:    set.GetOrCreateCounter("bramleywharf_target_reports_missed_total"),
 		polled:   make(map[string]time.Time),
+		polls:    make(map[string]int),
 	}
 	set.NewGauge("bramleywharf_targets_watched", func() float64 { return float64(len(p.table.Load().names)) })
 	ctx, cancel := context.WithCancel(context.Background())
@@ -196,7 +200,7 @@
 }
 
 // poll reads the report and cache events of one target.
-func (p *Pool) poll(ctx context.Context, t conf.Target, sequence int) {
+func (p *Pool) poll(ctx context.Context, t conf.Target, withCache bool, sequence int) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	load, err := p.engines.Load(ctx, t.Address)
@@ -205,9 +209,9 @@
 		p.change(t.Name, entry.withMiss)
 		return
 	}
-	events, err := p.engines.CacheEvents(ctx, t.Address, sequence)
-	if err != nil {
-		events = nil
+	var events []engine.CacheEvent
+	if withCache {
+		events, _ = p.engines.CacheEvents(ctx, t.Address, sequence)
 	}
 	p.change(t.Name, func(e entry) entry { return e.withReport(load, events) })
 }
@@ -222,7 +226,9 @@
 		}
 		p.polled[name] = now
 		e := t.entries[name]
-		group.Go(func() { p.poll(ctx, e.target, e.cache.sequence) })
+		p.polls[name]++
+		withCache := p.polls[name]%cacheEvery == 1
+		group.Go(func() { p.poll(ctx, e.target, withCache, e.cache.sequence) })
 	}
 }
 
@@ -261,9 +267,10 @@
 			byModel[model] = append(byModel[model], route.Place{Name: t.Name, Domain: t.Domain})
 		}
 	}
+	subset := max(leastSubset, p.settings.Budget/max(1, len(byModel)))
 	chosen := make(map[string]bool)
 	for model, places := range byModel {
-		for _, name := range route.Spread(p.settings.Self+"/"+model, p.settings.Domain, places, p.settings.Subset) {
+		for _, name := range route.Spread(p.settings.Self+"/"+model, p.settings.Domain, places, subset) {
 			chosen[name] = true
 		}
 	}
--- a/entry/internal/proof/world_test.go
+++ b/entry/internal/proof/world_test.go
@@ -232,7 +232,7 @@
 		},
 		Secret: []byte("0123456789abcdef"),
 		Seeds:  []string{"node-0", "node-1", "node-2"},
-		Subset: 8,
+		Budget: 24,
 		Costly: 16,
 		Linger: linger,
 	}, node.Borders{
