peer: questions that come at once share one connection; bytes on the wire are counted

Cause: TestAskConcurrently failed in 5 of 12 runs: 200 first questions opened 200 connections, the other end refused those beyond its queue, and all but one were never used again. Change: one attempt for each address at a time (singleflight); closed connections leave the table. Ruled out: a longer accept queue (the connections would still be opened for nothing).

--- /dev/null
+++ b/core/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter counts the bytes of network connections.
+package meter
--- a/core/peer/quic.go
+++ b/core/peer/quic.go
@@ -13,12 +13,14 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/singleflight"
 )
 
 const (
 	idleTimeout      = 20 * time.Second // idleTimeout closes connections that carry nothing.
 	handshakeTimeout = 2 * time.Second
 	askTimeout       = 2 * time.Second // askTimeout bounds questions that come without a deadline of their own.
+	headerBytes      = 28              // headerBytes is the length of the IP and UDP headers of a packet.
 	maxStreams       = 256             // maxStreams bounds the questions that one peer may have open.
 )
 
@@ -37,6 +39,9 @@
 
 	mu    sync.Mutex
 	conns map[string]*quic.Conn
+	open  map[*quic.Conn]bool
+	dials singleflight.Group
+	past  int // past counts the bytes on the wire of closed connections.
 	group sync.WaitGroup
 	stop  context.CancelFunc
 	done  chan struct{}
@@ -71,8 +76,11 @@
 		sent:     set.GetOrCreateCounter("bramleywharf_peer_sent_bytes_total"),
 		received: set.GetOrCreateCounter("bramleywharf_peer_received_bytes_total"),
 		conns:    make(map[string]*quic.Conn),
+		open:     make(map[*quic.Conn]bool),
 		done:     make(chan struct{}),
 	}
+	set.NewGauge("bramleywharf_peer_wire_bytes", func() float64 { return float64(q.wireBytes()) })
+	set.NewGauge("bramleywharf_peer_connections", func() float64 { return float64(q.connections()) })
 	q.listener, err = q.transport.Listen(config, q.settings)
 	if err != nil {
 		return nil, fmt.Errorf("accept peers: %w", err)
@@ -145,6 +153,7 @@
 		if err != nil {
 			return
 		}
+		q.track(conn)
 		q.group.Go(func() { q.serve(ctx, conn) })
 	}
 }
@@ -166,7 +175,7 @@
 	_, _ = stream.Write(raw)
 }
 
-// connect returns a connection to a peer address, a kept one if there is one.
+// connect returns a connection to a peer address, a kept one if there is one; questions that come at once share one attempt.
 func (q *Quic) connect(ctx context.Context, address string) (*quic.Conn, error) {
 	q.mu.Lock()
 	conn, ok := q.conns[address]
@@ -174,20 +183,42 @@
 	if ok && conn.Context().Err() == nil {
 		return conn, nil
 	}
+	dialed := q.dials.DoChan(address, func() (any, error) { return q.dial(address) })
+	select {
+	case result := <-dialed:
+		conn, _ := result.Val.(*quic.Conn)
+		return conn, result.Err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("connect to peer %s: %w", address, ctx.Err())
+	}
+}
+
+// dial opens a connection to a peer address and keeps it.
+func (q *Quic) dial(address string) (*quic.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
 	udp, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, fmt.Errorf("resolve peer %s: %w", address, err)
 	}
-	conn, err = q.transport.Dial(ctx, udp, q.tls, q.settings)
+	conn, err := q.transport.Dial(ctx, udp, q.tls, q.settings)
 	if err != nil {
 		return nil, fmt.Errorf("connect to peer %s: %w", address, err)
 	}
+	q.track(conn)
 	q.mu.Lock()
 	q.conns[address] = conn
 	q.mu.Unlock()
 	return conn, nil
 }
 
+// connections returns the number of open connections.
+func (q *Quic) connections() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.open)
+}
+
 // exchange sends an encoded message on a new stream and reads the answer.
 func (q *Quic) exchange(ctx context.Context, conn *quic.Conn, raw []byte) (wire.Message, error) {
 	stream, err := conn.OpenStreamSync(ctx)
@@ -240,3 +271,39 @@
 		q.group.Go(func() { q.answer(ctx, stream) })
 	}
 }
+
+// track counts the bytes of a connection until it closes.
+func (q *Quic) track(conn *quic.Conn) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.open[conn] = true
+	context.AfterFunc(conn.Context(), func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		delete(q.open, conn)
+		for address, kept := range q.conns {
+			if kept == conn {
+				delete(q.conns, address)
+			}
+		}
+		q.past += wireBytes(conn)
+	})
+}
+
+// wireBytes returns the bytes that all connections put on the wire in both directions, headers included.
+func (q *Quic) wireBytes() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	sum := q.past
+	for conn := range q.open {
+		sum += wireBytes(conn)
+	}
+	return sum
+}
+
+// wireBytes returns the bytes that one connection put on the wire in both directions, headers included.
+func wireBytes(conn *quic.Conn) int {
+	s := conn.ConnectionStats()
+	packets := s.PacketsSent + s.PacketsReceived
+	return int(s.BytesSent+s.BytesReceived) + headerBytes*int(packets)
+}
--- a/entry/internal/boot/instance.go
+++ b/entry/internal/boot/instance.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bramleywharf.example/core/member"
+	"bramleywharf.example/core/meter"
 	"bramleywharf.example/core/peer"
 	"bramleywharf.example/core/store"
 	"bramleywharf.example/core/wire"
@@ -21,8 +22,9 @@
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second // readHeaderTimeout bounds the time that a caller may take to send its headers.
-	maxHeader         = 32 << 10        // maxHeader bounds the headers of a request, in bytes.
+	readHeaderTimeout   = 5 * time.Second // readHeaderTimeout bounds the time that a caller may take to send its headers.
+	platformDialTimeout = time.Second     // platformDialTimeout bounds the wait for a connection to the platform.
+	maxHeader           = 32 << 10        // maxHeader bounds the headers of a request, in bytes.
 )
 
 // Instance is a running entry instance.
@@ -57,8 +59,8 @@
 		return nil, fmt.Errorf("start peer transport: %w", err)
 	}
 	i.node, err = node.New(s.node(), node.Borders{
-		Platform: store.NewHTTP(s.Platform, s.PlatformToken, http.DefaultTransport),
-		Engines:  engine.NewHTTP(nil),
+		Platform: store.NewHTTP(s.Platform, s.PlatformToken, platformTransport(set)),
+		Engines:  engine.NewHTTP(set),
 		Services: engine.NewCaller(nil),
 		Peers:    i.peers,
 	}, logger, set)
@@ -156,6 +158,12 @@
 	return nil
 }
 
+// platformTransport returns the transport to the platform, whose bytes are counted.
+func platformTransport(set *metrics.Set) *http.Transport {
+	dial := (&net.Dialer{Timeout: platformDialTimeout}).DialContext
+	return &http.Transport{DialContext: meter.Counted(dial, set.GetOrCreateCounter("bramleywharf_platform_bytes_total"))}
+}
+
 // stop ends the servers and the node.
 func (i *Instance) stop() {
 	if i.admin != nil {
--- a/entry/internal/engine/http.go
+++ b/entry/internal/engine/http.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"bramleywharf.example/core/flow"
+	"bramleywharf.example/core/meter"
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/tmaxmax/go-sse"
 )
 
@@ -25,8 +27,9 @@
 
 // HTTP speaks the engines' protocol over net/http.
 type HTTP struct {
-	pooled *http.Transport
-	fresh  *http.Transport
+	pooled  *http.Transport
+	fresh   *http.Transport
+	reports *http.Transport // reports carries load and cache events, apart so that their bytes are counted.
 }
 
 var _ Client = (*HTTP)(nil)
@@ -50,14 +53,14 @@
 	Text   string `json:"text"`
 }
 
-// NewHTTP returns a client; dial is nil for TCP.
-func NewHTTP(dial func(ctx context.Context, network, address string) (net.Conn, error)) *HTTP {
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
-	}
+// NewHTTP returns a client over TCP with counters in the set.
+func NewHTTP(set *metrics.Set) *HTTP {
+	dial := (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
+	counted := meter.Counted(dial, set.GetOrCreateCounter("bramleywharf_target_report_bytes_total"))
 	return &HTTP{
-		pooled: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idlePerTarget, DisableCompression: true},
-		fresh:  &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+		pooled:  &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idlePerTarget, DisableCompression: true},
+		fresh:   &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+		reports: &http.Transport{DialContext: counted, MaxIdleConnsPerHost: 1, DisableCompression: true},
 	}
 }
 
@@ -70,7 +73,7 @@
 // CacheEvents returns the cache events after a sequence number.
 func (h *HTTP) CacheEvents(ctx context.Context, address string, after int) ([]CacheEvent, error) {
 	var events []CacheEvent
-	err := h.read(ctx, h.pooled, address, "/v1/cache-events?after="+strconv.Itoa(after), &events)
+	err := h.read(ctx, h.reports, address, "/v1/cache-events?after="+strconv.Itoa(after), &events)
 	return events, err
 }
 
@@ -88,12 +91,13 @@
 func (h *HTTP) Close() {
 	h.pooled.CloseIdleConnections()
 	h.fresh.CloseIdleConnections()
+	h.reports.CloseIdleConnections()
 }
 
 // Load returns the engine's report.
 func (h *HTTP) Load(ctx context.Context, address string) (Load, error) {
 	var l Load
-	err := h.read(ctx, h.pooled, address, "/v1/load", &l)
+	err := h.read(ctx, h.reports, address, "/v1/load", &l)
 	return l, err
 }
 
