--- a/lab/internal/cmd/root.go
+++ b/lab/internal/cmd/root.go
@@ -35,6 +35,6 @@
 			return opts.ReadEnv(c.Flags())
 		},
 	}
-	root.AddCommand(newDemo())
+	root.AddCommand(newDemo(), newSlopes())
 	return root
 }
