pool: reports are spread over their period

Cause: an idle instance of 8 took 1.4% of a core; the profile showed a third of it in opening connections to targets: all reports were due in the same instant, and the measurement's targets share one address, of which one connection was kept. Change: a target's first report falls at a random time within the period; kept connections are bounded as for streams. Ruled out: unread bodies (tried: reading them to the end changes nothing, since net/http sees the end with the last bytes; reverted).

--- a/entry/internal/engine/http.go
+++ b/entry/internal/engine/http.go
@@ -60,7 +60,7 @@
 	return &HTTP{
 		pooled:  &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idlePerTarget, DisableCompression: true},
 		fresh:   &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
-		reports: &http.Transport{DialContext: counted, MaxIdleConnsPerHost: 1, DisableCompression: true},
+		reports: &http.Transport{DialContext: counted, MaxIdleConnsPerHost: idlePerTarget, DisableCompression: true},
 	}
 }
 
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -221,6 +222,9 @@
 	now := time.Now()
 	t := p.table.Load()
 	for _, name := range t.names {
+		if _, known := p.polled[name]; !known {
+			p.polled[name] = now.Add(-rand.N(pollPeriod)) // Reports are spread over the period.
+		}
 		if now.Sub(p.polled[name]) < pollPeriod {
 			continue
 		}
