--- a/entry/internal/chain/call.go
+++ b/entry/internal/chain/call.go
@@ -66,6 +66,7 @@
 	Config       *conf.Snapshot
 	Limit        conf.Limit
 	Sink         Sink
+	Entered      func() // Entered is called when the call holds the engine that it was let through to, or is nil.
 }
 
 // WithConfig returns a copy that is judged by a snapshot and limit.
@@ -75,6 +76,12 @@
 	return c
 }
 
+// WithEntered returns a copy that tells when it holds its engine.
+func (c Call) WithEntered(entered func()) Call {
+	c.Entered = entered
+	return c
+}
+
 // WithOrganisation returns a copy made by an organisation.
 func (c Call) WithOrganisation(name string) Call {
 	c.Organisation = name
--- a/entry/internal/filter/identify.go
+++ b/entry/internal/filter/identify.go
@@ -11,6 +11,9 @@
 	"bramleywharf.example/entry/internal/chain"
 )
 
+// queueRetry is what callers are told when engines are full.
+const queueRetry = 5 * time.Second
+
 // retryAfter is what callers are told when another instance or a moment may help.
 const retryAfter = time.Second
 
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -15,6 +15,7 @@
 	"bramleywharf.example/entry/internal/engine"
 	"bramleywharf.example/entry/internal/filter"
 	"bramleywharf.example/entry/internal/fleet"
+	"bramleywharf.example/entry/internal/gate"
 	"bramleywharf.example/entry/internal/keep"
 	"bramleywharf.example/entry/internal/lend"
 	"bramleywharf.example/entry/internal/once"
@@ -51,6 +52,7 @@
 	Pool    *pool.Pool
 	Watch   *watch.Watch
 	handler chain.Handler
+	gate    *gate.Gate
 	keep    *keep.Keep
 	lend    *lend.Lend
 	once    *once.Once
@@ -70,6 +72,7 @@
 	n.Watch.Start(n.Fleet)
 	n.Pool = pool.New(pool.Settings{Self: s.Self.Name, Domain: s.Self.Domain, Budget: s.Budget}, n.Watch, b.Engines, set)
 	n.keep = keep.New(keep.Settings{Costly: s.Costly, Linger: s.Linger}, n.Fleet, n.Pool, b.Engines, b.Peers, set)
+	n.gate = gate.New(n.Pool, set)
 	n.lend = lend.New(n.Fleet, n.Watch, b.Peers, set)
 	n.Issuer, err = once.NewIssuer(s.Self.Name, s.Self.Incarnation, s.Secret, n.Fleet, b.Peers)
 	if err != nil {
@@ -84,6 +87,7 @@
 		filter.NewIdentify(n.Watch),
 		filter.Check{},
 		filter.NewLimit(n.lend),
+		filter.NewShare(n.gate),
 	)
 	return n, nil
 }
@@ -94,6 +98,7 @@
 		n.once.Close()
 	}
 	n.lend.Close()
+	n.gate.Close()
 	n.keep.Stop()
 	n.Pool.Close()
 	n.Watch.Close()
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -98,6 +98,17 @@
 	return route.Candidate{}, false
 }
 
+// Free returns the slots of healthy engines for a model that neither their last report nor this instance's own count shows taken.
+func (p *Pool) Free(model string) int {
+	free := 0
+	for _, e := range p.table.Load().entries {
+		if !e.suspect && e.serves(model) {
+			free += max(0, e.free())
+		}
+	}
+	return free
+}
+
 // Hold counts one generation on a target until release is called.
 func (p *Pool) Hold(name string) (release func()) {
 	e, ok := p.table.Load().entries[name]
--- a/entry/internal/pool/table.go
+++ b/entry/internal/pool/table.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"bramleywharf.example/core/conf"
@@ -39,6 +40,14 @@
 	}
 }
 
+// free returns the slots that seem free; an engine whose slots are not known always has one.
+func (e entry) free() int {
+	if e.slots == 0 {
+		return 1
+	}
+	return e.slots - max(e.load, int(e.own.Load()))
+}
+
 // offers tells whether the target takes new work for a model, adapter and version.
 func (e entry) offers(model, adapter, version string) bool {
 	if e.leaving || e.target.Leaving {
@@ -47,6 +56,17 @@
 	return conf.Limit{Models: e.target.Models}.Allows(model, adapter, version)
 }
 
+// serves tells whether the target takes new work for a model, whatever the adapter and version.
+func (e entry) serves(model string) bool {
+	if e.leaving || e.target.Leaving {
+		return false
+	}
+	return slices.ContainsFunc(e.target.Models, func(grant string) bool {
+		name, _, _ := conf.SplitGrant(grant)
+		return name == model
+	})
+}
+
 // withEntry returns a table with one entry replaced, if it is there.
 func (t table) withEntry(e entry) table {
 	if _, ok := t.entries[e.target.Name]; !ok {
--- a/entry/internal/relay/recover.go
+++ b/entry/internal/relay/recover.go
@@ -53,6 +53,9 @@
 		release: g.relay.picker.Hold(target.Name),
 	}
 	g.attempts[number] = a
+	if g.job.Held != nil {
+		g.job.Held()
+	}
 	return a
 }
 
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -67,6 +67,7 @@
 	Cursor token.Cursor // Cursor is where to go on; its Attempt is 0 for a new generation.
 	Base   int          // Base is the offset of the first of Texts.
 	Texts  []string     // Texts holds what is known of the answer so far.
+	Held   func()       // Held is called when a target is held first, or is nil.
 	Prompt bool         // Prompt tells whether Spec holds the prompt, without which nothing can be continued elsewhere.
 }
 
--- a/entry/internal/serve/serve.go
+++ b/entry/internal/serve/serve.go
@@ -136,7 +136,7 @@
 		Max:     r.MaxTokens,
 		Origin:  s.fleet.Self().Name,
 	}
-	return s.relay.Run(ctx, relay.Job{Spec: spec, Policy: policy(c.Limit), Cursor: cursor, Prompt: true}, c.Sink)
+	return s.relay.Run(ctx, relay.Job{Spec: spec, Policy: policy(c.Limit), Cursor: cursor, Held: c.Entered, Prompt: true}, c.Sink)
 }
 
 // invoke runs a call of a plain service.
--- a/lab/internal/cmd/root.go
+++ b/lab/internal/cmd/root.go
@@ -35,6 +35,6 @@
 			return opts.ReadEnv(c.Flags())
 		},
 	}
-	root.AddCommand(newDemo(), newSlopes())
+	root.AddCommand(newBench(), newDemo(), newSlopes())
 	return root
 }
--- a/stand/engine/server.go
+++ b/stand/engine/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 )
 
 // maxBody bounds the body of a request, in bytes.
@@ -29,11 +30,14 @@
 type Server struct {
 	batch *batch
 	mux   *http.ServeMux
+
+	mu    sync.Mutex
+	quiet chan struct{} // quiet closes when all open streams go silent.
 }
 
 // New returns an engine.
 func New(s Settings) *Server {
-	e := &Server{batch: newBatch(s), mux: http.NewServeMux()}
+	e := &Server{batch: newBatch(s), mux: http.NewServeMux(), quiet: make(chan struct{})}
 	e.mux.HandleFunc("POST /v1/generations", e.start)
 	e.mux.HandleFunc("GET /v1/generations/{id}/events", e.attach)
 	e.mux.HandleFunc("GET /v1/generations/{id}", e.probe)
@@ -42,6 +46,7 @@
 	e.mux.HandleFunc("GET /v1/cache-events", e.cacheEvents)
 	e.mux.HandleFunc("POST /v1/orders", e.order)
 	e.mux.HandleFunc("POST /v1/leave", e.leave)
+	e.mux.HandleFunc("POST /v1/silence", e.silence)
 	e.mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return e
 }
@@ -73,7 +78,7 @@
 		http.Error(w, "offset lies in the forced prefix", http.StatusRequestedRangeNotSatisfiable)
 		return
 	}
-	stream(w, r, g, from)
+	e.stream(w, r, g, from)
 }
 
 // cacheEvents answers the cache events after a sequence number.
@@ -151,14 +156,26 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	stream(w, r, g, len(request.Forced))
+	e.stream(w, r, g, len(request.Forced))
+}
+
+// silence makes all open streams silent for good, as a lost connection does; new ones work.
+func (e *Server) silence(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.quiet)
+	e.quiet = make(chan struct{})
+	w.WriteHeader(http.StatusNoContent)
 }
 
 // stream writes a generation's tokens as server-sent events until it ends or the reader goes.
-func stream(w http.ResponseWriter, r *http.Request, g *generation, offset int) {
+func (e *Server) stream(w http.ResponseWriter, r *http.Request, g *generation, offset int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
 	_ = flush.Flush()
+	e.mu.Lock()
+	quiet := e.quiet
+	e.mu.Unlock()
 	for {
 		tokens, ended, changed := g.after(offset)
 		for _, text := range tokens {
@@ -176,6 +193,9 @@
 		select {
 		case <-r.Context().Done():
 			return
+		case <-quiet:
+			<-r.Context().Done()
+			return
 		case <-changed:
 		}
 	}
