--- a/hack/slopes.sh
+++ b/hack/slopes.sh
@@ -31,7 +31,7 @@
     callers+=("127.0.0.1:$base")
     admins+=("127.0.0.1:$((base + 2))")
   done
-  sleep "${SETTLE:-12}"
+  sleep "${SETTLE:-45}" # News of the start has been told by then.
 }
 
 # stop ends what fleet started.
