steer: orders to engines under a fencing number

Cause: engines are told what to load by one instance at a time; some refuse old fencing numbers and some ignore them. Proof: TestLateOrders pauses the holder as its order leaves; a checking engine never takes it, an ignoring one is mended by read-back within 15 s.

--- a/entry/internal/engine/client.go
+++ b/entry/internal/engine/client.go
@@ -13,6 +13,7 @@
 	ErrRefused   = errors.New("engine takes no new work")
 	ErrSevered   = errors.New("connection to the engine broke")
 	ErrRange     = errors.New("engine cannot stream from the offset")
+	ErrFenced    = errors.New("engine has seen a higher fencing number")
 )
 
 // Request asks an engine for a generation that continues a forced prefix.
@@ -53,13 +54,20 @@
 
 // Load is an engine's report of itself, which lags.
 type Load struct {
-	Prefilled int    `json:"prefilled-tokens"`
-	Decoded   int    `json:"decoded-tokens"`
-	Running   int    `json:"running"`
-	Waiting   int    `json:"waiting"`
-	Slots     int    `json:"slots"`
-	Leaving   bool   `json:"leaving"`
-	Fence     uint64 `json:"fence"`
+	Prefilled int      `json:"prefilled-tokens"`
+	Decoded   int      `json:"decoded-tokens"`
+	Running   int      `json:"running"`
+	Waiting   int      `json:"waiting"`
+	Slots     int      `json:"slots"`
+	Leaving   bool     `json:"leaving"`
+	Fence     uint64   `json:"fence"`
+	Models    []string `json:"models"` // Models lists what the engine holds, as declarations name it.
+}
+
+// Order tells an engine which models, adapters and versions to hold.
+type Order struct {
+	Fence  uint64   `json:"fence"`
+	Models []string `json:"models"`
 }
 
 // CacheEvent tells that a prompt prefix entered or left an engine's cache.
@@ -79,6 +87,8 @@
 	Cancel(ctx context.Context, address, id string) error
 	// Load returns the engine's report.
 	Load(ctx context.Context, address string) (Load, error)
+	// Order tells an engine what to hold; the error wraps ErrFenced when the fencing number is old.
+	Order(ctx context.Context, address string, o Order) error
 	// Probe asks over a fresh connection whether the engine knows a generation: nil, ErrForgotten or ErrSevered.
 	Probe(ctx context.Context, address, id string) error
 	// Start begins a generation and streams it until it ends.
--- a/entry/internal/engine/http.go
+++ b/entry/internal/engine/http.go
@@ -101,6 +101,20 @@
 	return l, err
 }
 
+// Order tells an engine what to hold.
+func (h *HTTP) Order(ctx context.Context, address string, o Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Errorf("encode order: %w", err)
+	}
+	response, err := h.send(ctx, h.fresh, http.MethodPost, address, "/v1/orders", body)
+	if err != nil {
+		return err
+	}
+	_ = response.Body.Close()
+	return nil
+}
+
 // Probe asks over a fresh connection whether the engine knows a generation.
 func (h *HTTP) Probe(ctx context.Context, address, id string) error {
 	var state map[string]any
@@ -191,6 +205,8 @@
 	switch {
 	case status < http.StatusMultipleChoices:
 		return nil
+	case status == http.StatusConflict:
+		return ErrFenced
 	case status == http.StatusNotFound:
 		return ErrForgotten
 	case status == http.StatusRequestedRangeNotSatisfiable:
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -22,6 +22,7 @@
 	"bramleywharf.example/entry/internal/pool"
 	"bramleywharf.example/entry/internal/relay"
 	"bramleywharf.example/entry/internal/serve"
+	"bramleywharf.example/entry/internal/steer"
 	"bramleywharf.example/entry/internal/watch"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
@@ -56,6 +57,7 @@
 	keep    *keep.Keep
 	lend    *lend.Lend
 	once    *once.Once
+	steer   *steer.Steer
 	done    chan struct{}
 }
 
@@ -74,6 +76,7 @@
 	n.keep = keep.New(keep.Settings{Costly: s.Costly, Linger: s.Linger}, n.Fleet, n.Pool, b.Engines, b.Peers, set)
 	n.gate = gate.New(n.Pool, set)
 	n.lend = lend.New(n.Fleet, n.Watch, b.Peers, set)
+	n.steer = steer.New(s.Self.Name, platform, n.Fleet, n.Watch, b.Engines, logger, set)
 	n.Issuer, err = once.NewIssuer(s.Self.Name, s.Self.Incarnation, s.Secret, n.Fleet, b.Peers)
 	if err != nil {
 		n.Close()
@@ -97,6 +100,7 @@
 	if n.once != nil {
 		n.once.Close()
 	}
+	n.steer.Close()
 	n.lend.Close()
 	n.gate.Close()
 	n.keep.Stop()
--- a/entry/internal/proof/engine_test.go
+++ b/entry/internal/proof/engine_test.go
@@ -27,6 +27,9 @@
 	mu          sync.Mutex
 	generations map[string]*fakeGeneration
 	salt        string
+	models      []string
+	fence       uint64
+	ignores     bool // ignores tells whether old fencing numbers are taken.
 	slow        int
 	refusing    bool
 	silenced    int // silenced counts how often all open connections went silent.
@@ -214,7 +217,26 @@
 	if err != nil {
 		return engine.Load{}, err
 	}
-	return engine.Load{Running: e.busy(), Slots: 16}, nil
+	e.mu.Lock()
+	models := e.models
+	e.mu.Unlock()
+	return engine.Load{Running: e.busy(), Slots: 16, Models: models}, nil
+}
+
+func (f *fakeEngines) Order(ctx context.Context, address string, o engine.Order) error {
+	f.w.fire("order")
+	e, err := f.to(ctx, address)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Fence < e.fence && !e.ignores {
+		return engine.ErrFenced
+	}
+	e.fence = max(o.Fence, e.fence)
+	e.models = o.Models
+	return nil
 }
 
 func (f *fakeEngines) Probe(ctx context.Context, address, id string) error {
--- /dev/null
+++ b/entry/internal/proof/steer_test.go
@@ -0,0 +1,79 @@
+package proof
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bramleywharf.example/core/conf"
+)
+
+// mendBound is the longest that an engine which ignores fencing numbers may hold what a late order told it.
+const mendBound = 15 * time.Second
+
+// TestLateOrders pauses the holder of the lease just before its order leaves, lets another take over, and lets the late order arrive.
+func TestLateOrders(t *testing.T) {
+	cases := map[string]struct {
+		ignores bool
+		regress bool // regress tells whether the engine may hold the late order's models for a while.
+	}{
+		"checking": {},
+		"ignoring": {ignores: true, regress: true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 3, 1, "latency")
+				defer w.close()
+				e := w.engines["engine-0"]
+				e.with(func() { e.ignores = test.ignores })
+				declare := func(models string) {
+					w.declare(conf.KindTarget, "engine-0", fmt.Sprintf(
+						`{"address":"engine-0:1","failure-domain":"fd-0","models":[%s],"slots":16,"ignores-fencing":%t}`, models, test.ignores))
+				}
+				declare(`"m"`)
+				w.until(t, 20*time.Second, "first models", func() bool { return e.holds("m") })
+				paused := ""
+				w.hook("order", func() {
+					paused = w.names()[slices.IndexFunc(w.names(), func(n string) bool { return w.nodes[n].Fleet.Elected("steer", 1) })]
+					w.set(paused, frozen)
+				})
+				declare(`"m","old"`)
+				w.until(t, 20*time.Second, "order under way", func() bool { return paused != "" })
+				declare(`"m","new"`)
+				w.until(t, 40*time.Second, "order of the next holder", func() bool { return e.holds("m", "new") })
+				w.set(paused, running)
+				regressed := false
+				for range 100 {
+					time.Sleep(10 * time.Millisecond)
+					regressed = regressed || !e.holds("m", "new")
+				}
+				if regressed && !test.regress {
+					t.Error("a late order was taken")
+				}
+				w.until(t, mendBound, "models of the declaration in force", func() bool { return e.holds("m", "new") })
+			})
+		})
+	}
+}
+
+// holds tells whether the engine holds exactly some models.
+func (e *fakeEngine) holds(models ...string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Equal(e.models, models)
+}
+
+// until waits for a condition.
+func (w *world) until(t *testing.T, bound time.Duration, what string, ok func() bool) {
+	t.Helper()
+	limit := time.Now().Add(bound)
+	for !ok() {
+		if time.Now().After(limit) {
+			t.Fatalf("%s: not within %s", what, bound)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/stand/engine/engine.go
+++ b/stand/engine/engine.go
@@ -28,13 +28,14 @@
 
 // Work counts what an engine has done.
 type Work struct {
-	Prefilled int    `json:"prefilled-tokens"` // Prefilled counts tokens read, without those found in the cache.
-	Decoded   int    `json:"decoded-tokens"`
-	Running   int    `json:"running"`
-	Waiting   int    `json:"waiting"`
-	Slots     int    `json:"slots"`
-	Leaving   bool   `json:"leaving"`
-	Fence     uint64 `json:"fence"`
+	Prefilled int      `json:"prefilled-tokens"` // Prefilled counts tokens read, without those found in the cache.
+	Decoded   int      `json:"decoded-tokens"`
+	Running   int      `json:"running"`
+	Waiting   int      `json:"waiting"`
+	Slots     int      `json:"slots"`
+	Leaving   bool     `json:"leaving"`
+	Fence     uint64   `json:"fence"`
+	Models    []string `json:"models"`
 }
 
 // generation is one answer in the making.
--- a/stand/engine/server.go
+++ b/stand/engine/server.go
@@ -19,11 +19,10 @@
 	Text   string `json:"text"`
 }
 
-// Order asks an engine to load something or to change its role.
+// Order tells an engine what to hold.
 type Order struct {
-	Fence uint64 `json:"fence"`
-	Load  string `json:"load,omitempty"`
-	Role  string `json:"role,omitempty"`
+	Fence  uint64   `json:"fence"`
+	Models []string `json:"models"` // Models is everything that the engine is to hold.
 }
 
 // Server answers the engine's API over HTTP.
@@ -128,7 +127,8 @@
 		http.Error(w, "old fencing number", http.StatusConflict)
 		return
 	}
-	e.batch.work.Fence = o.Fence
+	e.batch.work.Fence = max(o.Fence, e.batch.work.Fence)
+	e.batch.work.Models = o.Models
 	w.WriteHeader(http.StatusNoContent)
 }
 
