lab: a model of the fleet for routing experiments; the shape as a test

Cause: subset sizes and choices of engines had no measured curve, and 410 instances do not fit the machine. The command packages are named cmds, within four to six letters.

--- a/entry/main.go
+++ b/entry/main.go
@@ -4,9 +4,9 @@
 import (
 	"os"
 
-	"bramleywharf.example/entry/internal/cmd"
+	"bramleywharf.example/entry/internal/cmds"
 )
 
 func main() {
-	os.Exit(cmd.Main(os.Args[1:]))
+	os.Exit(cmds.Main(os.Args[1:]))
 }
--- a/lab/internal/cmd/root.go
+++ b/lab/internal/cmds/root.go
@@ -1,4 +1,4 @@
-package cmd
+package cmds
 
 import (
 	"context"
@@ -35,6 +35,6 @@
 			return opts.ReadEnv(c.Flags())
 		},
 	}
-	root.AddCommand(newBench(), newDemo(), newSlopes())
+	root.AddCommand(newBench(), newDemo(), newModel(), newSlopes())
 	return root
 }
--- a/stand/internal/cmd/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package cmd is the command line of the stand-ins.
-package cmd
--- /dev/null
+++ b/stand/internal/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds is the command line of the stand-ins.
+package cmds
--- a/stand/main.go
+++ b/stand/main.go
@@ -4,9 +4,9 @@
 import (
 	"os"
 
-	"bramleywharf.example/stand/internal/cmd"
+	"bramleywharf.example/stand/internal/cmds"
 )
 
 func main() {
-	os.Exit(cmd.Main(os.Args[1:]))
+	os.Exit(cmds.Main(os.Args[1:]))
 }
--- a/wharfctl/internal/cmd/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package cmd is the operators' command line, one file for each subcommand.
-package cmd
--- a/wharfctl/internal/cmd/status.go
+++ b/wharfctl/internal/cmds/status.go
@@ -1,4 +1,4 @@
-package cmd
+package cmds
 
 import (
 	"context"
--- a/wharfctl/main.go
+++ b/wharfctl/main.go
@@ -4,9 +4,9 @@
 import (
 	"os"
 
-	"bramleywharf.example/wharfctl/internal/cmd"
+	"bramleywharf.example/wharfctl/internal/cmds"
 )
 
 func main() {
-	os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
