route: the better of two engines at random and the warmest, in place of the best of all

Change: Balanced looks at two at random and the warmest; the former way stays as the baseline Scanned.

--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -12,14 +12,20 @@
 	Suspect bool    // Suspect marks a target that failed lately.
 }
 
-// Choice is the sealed set of ways to choose a target: Balanced, LeastLoaded and Random.
+// Choice is the sealed set of ways to choose a target: Balanced, Scanned, LeastLoaded and Random.
 type Choice interface {
 	isChoice()
 }
 
-// Balanced weighs load against warm prefixes up to a bound of load.
+// Balanced weighs load against warm prefixes among two targets at the given draw and the warmest one; since reports lag, looking at more would send everybody to the same.
 type Balanced struct {
 	Domain string // Domain is the failure domain that is preferred at equal cost.
+	Draw   uint64
+}
+
+// Scanned weighs as Balanced does, among all targets; it is a baseline.
+type Scanned struct {
+	Domain string
 }
 
 // LeastLoaded takes the target with the least load alone; it is a baseline.
@@ -31,6 +37,7 @@
 }
 
 func (Balanced) isChoice()    {}
+func (Scanned) isChoice()     {}
 func (LeastLoaded) isChoice() {}
 func (Random) isChoice()      {}
 
@@ -43,53 +50,75 @@
 
 // Choose returns the index of the target for a request, leaving out the named ones, or -1.
 func Choose(c Choice, candidates []Candidate, avoid map[string]bool) int {
-	if r, ok := c.(Random); ok {
-		return chooseRandom(r, candidates, avoid)
-	}
-	best := -1
-	var bestCost float64
+	var open []int
 	for i, t := range candidates {
-		if avoid[t.Name] {
-			continue
+		if !avoid[t.Name] {
+			open = append(open, i)
 		}
-		cost := t.cost(c)
-		if best < 0 || cost < bestCost {
-			best, bestCost = i, cost
+	}
+	if len(open) == 0 {
+		return -1
+	}
+	switch c := c.(type) {
+	case Random:
+		return open[c.Draw%uint64(len(open))]
+	case Balanced:
+		return cheapest(candidates, sampled(candidates, healthy(candidates, open), c.Draw), c.Domain, warmGain)
+	case Scanned:
+		return cheapest(candidates, open, c.Domain, warmGain)
+	default:
+		return cheapest(candidates, open, "", 0)
+	}
+}
+
+// cheapest returns the index with the least cost.
+func cheapest(candidates []Candidate, open []int, domain string, warm float64) int {
+	best := open[0]
+	for _, i := range open[1:] {
+		if candidates[i].cost(domain, warm) < candidates[best].cost(domain, warm) {
+			best = i
 		}
 	}
 	return best
 }
 
-// chooseRandom returns the candidate at the draw among those that are not left out.
-func chooseRandom(r Random, candidates []Candidate, avoid map[string]bool) int {
-	var open []int
-	for i, t := range candidates {
-		if !avoid[t.Name] {
-			open = append(open, i)
+// healthy returns the indices that are not suspect, or all when every one is.
+func healthy(candidates []Candidate, open []int) []int {
+	var sound []int
+	for _, i := range open {
+		if !candidates[i].Suspect {
+			sound = append(sound, i)
 		}
 	}
-	if len(open) == 0 {
-		return -1
+	if len(sound) == 0 {
+		return open
 	}
-	return open[r.Draw%uint64(len(open))]
+	return sound
 }
 
-// cost is lower for a better target.
-func (t Candidate) cost(c Choice) float64 {
+// sampled returns two different indices at a draw, and the warmest.
+func sampled(candidates []Candidate, open []int, draw uint64) []int {
+	n := uint64(len(open))
+	if n <= 2 {
+		return open
+	}
+	first := draw % n
+	second := (first + 1 + draw/n%(n-1)) % n
+	warmest := cheapest(candidates, open, "", 1<<20)
+	return []int{open[first], open[second], warmest}
+}
+
+// cost is lower for a better target, with a gain for the preferred domain and for a warm prefix.
+func (t Candidate) cost(domain string, warm float64) float64 {
 	slots := t.Slots
 	if slots == 0 {
 		slots = defaultSlots
 	}
-	cost := float64(max(t.Own, t.Load)) / float64(slots)
+	cost := float64(max(t.Own, t.Load))/float64(slots) - warm*t.Warm
 	if t.Suspect {
 		cost += suspectPenalty
 	}
-	b, ok := c.(Balanced)
-	if !ok {
-		return cost
-	}
-	cost -= warmGain * t.Warm
-	if b.Domain == t.Domain {
+	if domain != "" && domain == t.Domain {
 		cost -= domainGain
 	}
 	return cost
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -129,7 +129,7 @@
 			candidates = append(candidates, e.candidate(prefix))
 		}
 	}
-	at := route.Choose(route.Balanced{Domain: p.settings.Domain}, candidates, avoid)
+	at := route.Choose(route.Balanced{Domain: p.settings.Domain, Draw: rand.Uint64()}, candidates, avoid)
 	if at < 0 {
 		return route.Candidate{}, false
 	}
--- a/lab/internal/cmds/model.go
+++ b/lab/internal/cmds/model.go
@@ -19,8 +19,8 @@
 		RunE: func(c *cobra.Command, _ []string) error {
 			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 8, 2, ' ', 0)
 			_, _ = fmt.Fprintln(w, "SUBSET\tCHOICE\tREQUESTS\tPREFIX HITS\tLOAD p99\tBUSIEST/MEAN\tFOUND FULL")
-			for _, subset := range []int{1, 2, 3, 4, 6, 8, 16} {
-				for _, choice := range []string{"balanced", "least-loaded", "random"} {
+			for _, subset := range []int{2, 4, 8, 16} {
+				for _, choice := range []string{"balanced", "scanned", "least-loaded", "random"} {
 					s.Subset, s.Choice = subset, choice
 					r := model.Run(s)
 					_, _ = fmt.Fprintf(w, "%d\t%s\t%d\t%.1f%%\t%.2f\t%.2f\t%.2f%%\n", subset, choice, r.Requests,
--- a/lab/internal/model/fleet.go
+++ b/lab/internal/model/fleet.go
@@ -24,7 +24,7 @@
 	Lag       time.Duration // Lag is the time between two reports of an engine.
 	Length    time.Duration // Length is the modelled time.
 	Affinity  int           // Affinity is the number of instances that one prefix is steered to.
-	Choice    string        // Choice is balanced, least-loaded or random.
+	Choice    string        // Choice is balanced, scanned, least-loaded or random.
 	Seed      uint64
 }
 
@@ -175,8 +175,10 @@
 		return route.Random{Draw: f.random.Uint64()}
 	case "least-loaded":
 		return route.LeastLoaded{}
+	case "scanned":
+		return route.Scanned{}
 	default:
-		return route.Balanced{}
+		return route.Balanced{Draw: f.random.Uint64()}
 	}
 }
 
