--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -43,7 +43,6 @@
 
 const (
 	warmGain       = 0.5  // warmGain is the load, in shares of all slots, that a fully warm prefix outweighs.
-	warmBound      = 0.7  // warmBound is the load, in shares of all slots, up to which a warm prefix counts.
 	domainGain     = 0.02 // domainGain is the load that the own failure domain outweighs.
 	suspectPenalty = 10   // suspectPenalty puts suspects behind every healthy target.
 	defaultSlots   = 16   // defaultSlots stands in for a target that has not declared its slots.
@@ -115,10 +114,7 @@
 	if slots == 0 {
 		slots = defaultSlots
 	}
-	cost := float64(max(t.Own, t.Load)) / float64(slots)
-	if cost < warmBound {
-		cost -= warm * t.Warm
-	}
+	cost := float64(max(t.Own, t.Load))/float64(slots) - warm*t.Warm
 	if t.Suspect {
 		cost += suspectPenalty
 	}
