--- /dev/null
+++ b/core/wait/doc.go
@@ -0,0 +1,2 @@
+// Package wait holds the one way to wait for a time that a context may cut short.
+package wait
--- a/entry/internal/cmds/root.go
+++ b/entry/internal/cmds/root.go
@@ -1,11 +1,8 @@
 package cmds
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"bramleywharf.example/core/opts"
 	"bramleywharf.example/entry/internal/boot"
@@ -16,15 +13,7 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	root := newRoot()
-	root.SetArgs(args)
-	if err := root.ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "entry:", err)
-		return 1
-	}
-	return 0
+	return opts.Main(newRoot(), args)
 }
 
 // newRoot returns the command that runs an instance.
@@ -42,9 +31,7 @@
 
 SIGTERM starts a graceful stop: the instance is left out of address answers,
 then takes no new calls, and ends when its last call has its answer.`,
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
+		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			return run(c, &settings)
 		},
@@ -55,9 +42,6 @@
 
 // run runs an instance until it is told to stop and has no calls left.
 func run(c *cobra.Command, settings *boot.Settings) error {
-	if err := opts.ReadEnv(c.Flags()); err != nil {
-		return err
-	}
 	if err := settings.Check(); err != nil {
 		return err
 	}
--- a/entry/internal/lend/loop.go
+++ b/entry/internal/lend/loop.go
@@ -7,6 +7,7 @@
 
 	"bramleywharf.example/core/limit"
 	"bramleywharf.example/core/member"
+	"bramleywharf.example/core/wait"
 	"bramleywharf.example/core/wire"
 )
 
@@ -27,7 +28,7 @@
 			return
 		case <-tick.C:
 		case <-l.kick:
-			pause(ctx, kickPause)
+			wait.For(ctx, kickPause)
 		}
 		l.borrow(ctx)
 		l.mu.Lock()
@@ -123,11 +124,3 @@
 	}
 	return rank, view.Len()
 }
-
-// pause waits unless the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/entry/internal/once/once.go
+++ b/entry/internal/once/once.go
@@ -12,6 +12,7 @@
 	"bramleywharf.example/core/deny"
 	"bramleywharf.example/core/route"
 	"bramleywharf.example/core/store"
+	"bramleywharf.example/core/wait"
 	"bramleywharf.example/entry/internal/chain"
 	"bramleywharf.example/entry/internal/engine"
 	"github.com/VictoriaMetrics/metrics"
@@ -187,7 +188,7 @@
 		if c.Phase == phaseUnsent || mine {
 			return o.takeOver(ctx, order, l, c, held, targets)
 		}
-		if time.Since(c.At) > callBound || !sleep(waiting, lookPause) {
+		if time.Since(c.At) > callBound || !wait.For(waiting, lookPause) {
 			break
 		}
 	}
@@ -271,7 +272,7 @@
 		defer cancel()
 		for {
 			_, err := o.claims.write(ctx, held, c)
-			if err == nil || isTaken(err) || !sleep(ctx, time.Second) {
+			if err == nil || isTaken(err) || !wait.For(ctx, time.Second) {
 				return
 			}
 		}
@@ -305,7 +306,7 @@
 	targets := o.targets.Services(order.Service)
 	var last error
 	for i, t := range targets {
-		if i > 0 && (!o.budget.spend() || !sleep(ctx, retryPause)) {
+		if i > 0 && (!o.budget.spend() || !wait.For(ctx, retryPause)) {
 			break
 		}
 		if i > 0 {
@@ -348,16 +349,6 @@
 	return chain.Refuse(deny.New(deny.KindConflict, "the key was used with another call; this call was not run"))
 }
 
-// sleep waits and tells whether the context still stands.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // unavailable refuses a call that was not run.
 func unavailable(format string, args ...any) chain.Answer {
 	return chain.Refuse(deny.New(deny.KindUnavailable, format, args...).WithRetryAfter(time.Second))
--- a/entry/internal/watch/watch.go
+++ b/entry/internal/watch/watch.go
@@ -12,6 +12,7 @@
 	"bramleywharf.example/core/decl"
 	"bramleywharf.example/core/peer"
 	"bramleywharf.example/core/store"
+	"bramleywharf.example/core/wait"
 	"bramleywharf.example/core/wire"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
@@ -249,11 +250,11 @@
 	for ctx.Err() == nil {
 		elected := w.roles.Elected("watch", watchers)
 		if !elected && time.Now().After(sticky) && !w.roles.Elected("watch", stepIn(w.Age())) {
-			sleep(ctx, idlePause/2+rand.N(idlePause))
+			wait.For(ctx, idlePause/2+rand.N(idlePause))
 			continue
 		}
 		if err := w.watch(ctx); err != nil {
-			sleep(ctx, pause/2+rand.N(pause))
+			wait.For(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, backoffMax)
 			continue
 		}
@@ -276,11 +277,3 @@
 	w.confirm(time.Now())
 	return nil
 }
-
-// sleep waits unless the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/lab/internal/slopes/row.go
+++ b/lab/internal/slopes/row.go
@@ -11,6 +11,7 @@
 	"bramleywharf.example/core/conf"
 	"bramleywharf.example/core/store"
 	"bramleywharf.example/core/token"
+	"bramleywharf.example/core/wait"
 	"bramleywharf.example/lab/internal/caller"
 )
 
@@ -58,14 +59,14 @@
 	var refused atomic.Int64
 	load(loading, s, &group, &refused)
 	if s.Streams > 0 || s.Starts > 0 {
-		pause(ctx, s.For/2)
+		wait.For(ctx, s.For/2)
 	}
 	before, err := scrapeAll(ctx, s.Admins)
 	if err != nil {
 		return Row{}, err
 	}
 	began := time.Now()
-	pause(ctx, s.For)
+	wait.For(ctx, s.For)
 	after, err := scrapeAll(ctx, s.Admins)
 	if err != nil {
 		return Row{}, err
@@ -145,15 +146,7 @@
 func note(ctx context.Context, err error, refused *atomic.Int64) {
 	if err != nil && ctx.Err() == nil {
 		refused.Add(1)
-		pause(ctx, 100*time.Millisecond)
-	}
-}
-
-// pause waits unless the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		wait.For(ctx, 100*time.Millisecond)
 	}
 }
 
@@ -179,7 +172,7 @@
 			if lowest(samples, metricRevision) >= float64(revision) {
 				break
 			}
-			pause(ctx, 5*time.Millisecond)
+			wait.For(ctx, 5*time.Millisecond)
 		}
 		worst = max(worst, time.Since(began))
 	}
--- a/stand/engine/engine.go
+++ b/stand/engine/engine.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"bramleywharf.example/core/wait"
 	"github.com/pkg/errors"
 )
 
@@ -115,7 +116,7 @@
 		return
 	}
 	defer b.leave()
-	if !sleep(ctx, time.Duration(b.prefill(g.request))*b.settings.Prefill) {
+	if !wait.For(ctx, time.Duration(b.prefill(g.request))*b.settings.Prefill) {
 		g.end("cancelled")
 		return
 	}
@@ -124,7 +125,7 @@
 		before = Extend(before, text)
 	}
 	for offset := len(g.request.Forced); offset < g.request.MaxTokens; offset++ {
-		if !sleep(ctx, b.settings.Gap) {
+		if !wait.For(ctx, b.settings.Gap) {
 			g.end("cancelled")
 			return
 		}
@@ -279,15 +280,3 @@
 	}
 	return g.tokens[at:len(g.tokens):len(g.tokens)], g.ended, g.changed
 }
-
-// sleep waits and tells whether the context still stands.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/stand/internal/cmds/root.go
+++ b/stand/internal/cmds/root.go
@@ -5,9 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"bramleywharf.example/core/opts"
@@ -19,27 +16,14 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	root := newRoot()
-	root.SetArgs(args)
-	if err := root.ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "stand:", err)
-		return 1
-	}
-	return 0
+	return opts.Main(newRoot(), args)
 }
 
 // newRoot returns the root command.
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
-		Use:           "stand",
-		Short:         "Stand-ins for the platform, model engines and plain services",
-		SilenceUsage:  true,
-		SilenceErrors: true,
-		PersistentPreRunE: func(c *cobra.Command, _ []string) error {
-			return opts.ReadEnv(c.Flags())
-		},
+		Use:   "stand",
+		Short: "Stand-ins for the platform, model engines and plain services",
 	}
 	root.AddCommand(newEngine(), newPlatform(), newService())
 	return root
--- a/wharfctl/internal/cmds/root.go
+++ b/wharfctl/internal/cmds/root.go
@@ -1,15 +1,12 @@
 package cmds
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"text/tabwriter"
 
 	"bramleywharf.example/core/audit"
@@ -53,13 +50,10 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	root := newRoot(&app{out: out})
-	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
-	err := root.ExecuteContext(ctx)
+	err := opts.Execute(root, args)
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, "wharfctl:", err)
 	}
@@ -94,8 +88,6 @@
 Each flag can be given as an environment variable: --platform-token is
 BRAMLEYWHARF_PLATFORM_TOKEN. Exit codes: 0 done, 1 fault, 2 wrong use,
 3 rejected, 4 conflict with a newer version, 5 platform without an answer.`,
-		SilenceUsage:  true,
-		SilenceErrors: true,
 		PersistentPreRunE: func(c *cobra.Command, _ []string) error {
 			if err := opts.ReadEnv(c.Flags()); err != nil {
 				return err
