proof: a leaving target gets no new work after 3 s

Cause: the promise was listed as not proved apart. Change: a target leaves by declaration, by its own report, and by declaration just before the platform goes dark, under ten callers.

--- a/entry/internal/proof/engine_test.go
+++ b/entry/internal/proof/engine_test.go
@@ -27,6 +27,8 @@
 	mu          sync.Mutex
 	generations map[string]*fakeGeneration
 	salt        string
+	leaving     bool
+	started     time.Time // started is when the last generation began.
 	models      []string
 	fence       uint64
 	ignores     bool // ignores tells whether old fencing numbers are taken.
@@ -218,9 +220,9 @@
 		return engine.Load{}, err
 	}
 	e.mu.Lock()
-	models := e.models
+	models, leaving := e.models, e.leaving
 	e.mu.Unlock()
-	return engine.Load{Running: e.busy(), Slots: 16, Models: models}, nil
+	return engine.Load{Running: e.busy(), Slots: 16, Models: models, Leaving: leaving}, nil
 }
 
 func (f *fakeEngines) Order(ctx context.Context, address string, o engine.Order) error {
@@ -282,6 +284,7 @@
 	if !ok {
 		g = &fakeGeneration{forced: len(r.Forced)}
 		e.generations[r.ID] = g
+		e.started = time.Now()
 		e.prefilled += len(r.Forced) + len(strings.Fields(r.Spec.Prompt))
 		go e.run(g, r)
 	}
