--- a/entry/internal/keep/keep.go
+++ b/entry/internal/keep/keep.go
@@ -190,24 +190,29 @@
 	return len(k.held)
 }
 
-// merge adds news to a copy; it fails when tokens are missing between the two.
+// merge adds news to a copy; it fails when something is missing between the two. News that names no attempt adds tokens alone.
 func merge(old, news wire.Log) (wire.Log, bool) {
 	next := news
-	if next.Prompt == "" {
-		next.Prompt = old.Prompt
-	}
-	if len(news.Tokens) == 0 {
-		next.Offset, next.Tokens = old.Offset, old.Tokens
-		return next, true
+	if news.AttemptID == "" {
+		if old.AttemptID == "" {
+			return old, false
+		}
+		next = old
 	}
-	if news.Offset == 0 || len(old.Tokens) == 0 {
-		return next, news.Offset == 0 || news.Prompt != ""
+	if news.Prompt == "" {
+		next.Prompt = old.Prompt
 	}
+	next.Offset, next.Tokens = old.Offset, old.Tokens
 	at := news.Offset - old.Offset
-	if at < 0 || at > len(old.Tokens) {
+	switch {
+	case len(news.Tokens) == 0:
+		return next, true
+	case news.Prompt != "":
+		next.Offset, next.Tokens = news.Offset, news.Tokens
+		return next, true
+	case len(old.Tokens) == 0 || at < 0 || at > len(old.Tokens):
 		return old, false
 	}
-	next.Offset = old.Offset
 	next.Tokens = append(old.Tokens[:at:at], news.Tokens...)
 	return next, true
 }
--- a/entry/internal/keep/loop.go
+++ b/entry/internal/keep/loop.go
@@ -98,7 +98,7 @@
 		if r == nil {
 			continue
 		}
-		r.sent(b.copied[i], ok && !unknown[r.request])
+		r.sent(b.logs[i], b.copied[i], ok && !unknown[r.request])
 		k.copied.Add(len(b.logs[i].Tokens))
 	}
 }
--- a/entry/internal/keep/record.go
+++ b/entry/internal/keep/record.go
@@ -22,9 +22,10 @@
 	tokens   []string
 	copied   int // copied counts the tokens that the keeper has.
 	keeper   string
-	told     bool // told tells whether the keeper knows of the generation.
-	whole    bool // whole tells whether the keeper has the prompt.
-	fresh    bool // fresh tells whether there is news for the keeper.
+	attempt  string // attempt is the attempt that the keeper knows of.
+	told     bool   // told tells whether the keeper knows of the generation.
+	whole    bool   // whole tells whether the keeper has the prompt.
+	fresh    bool   // fresh tells whether there is news for the keeper.
 	isTaken  bool
 	left     []attempt
 	leftAt   time.Time
@@ -114,17 +115,20 @@
 	if r.base+len(r.tokens) < costly || r.spec.Prompt == "" {
 		return r.stub(), 0, !r.told
 	}
-	l := r.log()
-	if r.whole {
-		l.Prompt = ""
-		l.Offset += r.copied
-		l.Tokens = l.Tokens[r.copied:]
+	if !r.whole {
+		return r.log(), len(r.tokens), true
 	}
+	l := wire.Log{Request: r.request}
+	if r.attempt != r.progress.AttemptID {
+		l = r.stub()
+	}
+	l.Offset = r.base + r.copied
+	l.Tokens = r.tokens[r.copied:len(r.tokens):len(r.tokens)]
 	return l, len(r.tokens), true
 }
 
-// sent notes what the keeper has, or that it has to be told all again.
-func (r *record) sent(copied int, ok bool) {
+// sent notes what the keeper has of an attempt, or that it has to be told all again.
+func (r *record) sent(l wire.Log, copied int, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !ok {
@@ -132,6 +136,9 @@
 		return
 	}
 	r.told = true
+	if l.AttemptID != "" {
+		r.attempt = l.AttemptID
+	}
 	if copied > 0 {
 		r.whole, r.copied = true, copied
 		r.fresh = copied < len(r.tokens)
--- a/entry/internal/proof/caller_test.go
+++ b/entry/internal/proof/caller_test.go
@@ -31,6 +31,8 @@
 	each    func(count int)
 	current *connection
 	gone    bool
+
+	forgetful bool // forgetful callers send their event id alone when they come back.
 }
 
 // connection is one stream of a caller; a closed or silent one takes nothing more.
@@ -184,6 +186,9 @@
 // request returns what the caller sends next; the lock is held.
 func (c *caller) request() chain.Request {
 	if c.lastID != "" {
+		if c.forgetful {
+			return chain.Resume{LastEventID: c.lastID}
+		}
 		return chain.Resume{LastEventID: c.lastID, Prompt: c.spec.Prompt}
 	}
 	return chain.Generate{Model: "m", Prompt: c.spec.Prompt, Seed: c.spec.Seed, MaxTokens: c.spec.MaxTokens}
