--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,8 @@
 	go test -fuzz FuzzParse -fuzztime $(FUZZ_TIME) ./core/sheet
 	go test -fuzz FuzzOpen -fuzztime $(FUZZ_TIME) ./core/token
 	go test -fuzz FuzzDecode -fuzztime $(FUZZ_TIME) ./core/wire
+	go test -fuzz FuzzParse -fuzztime $(FUZZ_TIME) ./core/decl
+	go test -fuzz FuzzComplete -fuzztime $(FUZZ_TIME) ./entry/internal/front
 
 # Resume latency and extra engine work for each policy beside the plain restart; ROUNDS rounds each.
 bench: build
