--- a/entry/internal/admin/admin.go
+++ b/entry/internal/admin/admin.go
@@ -36,6 +36,8 @@
 	Age      float64        `json:"config-age-seconds"`
 	Fault    string         `json:"fault,omitempty"`
 	Leaving  bool           `json:"leaving"`
+	Running  int            `json:"generations-running"`
+	Resumed  int            `json:"generations-recovered"` // Resumed counts continuations on another engine since the start.
 	Sheets   []SheetStatus  `json:"sheets"`
 	Members  []MemberStatus `json:"members"`
 	Targets  []TargetStatus `json:"targets"`
@@ -150,6 +152,8 @@
 		Revision: uint64(snapshot.Revision()),
 		Age:      a.parts.Watch.Age().Seconds(),
 		Leaving:  self.Leaving,
+		Running:  int(a.parts.Set.GetOrCreateGauge("bramleywharf_generations_running", nil).Get()),
+		Resumed:  int(a.parts.Set.GetOrCreateCounter("bramleywharf_generations_continued_total").Get()),
 		Sheets:   sheets(snapshot),
 		Members:  members(a.parts.Fleet.View()),
 		Targets:  targets(a.parts.Pool.Watched()),
@@ -200,6 +204,7 @@
 <html lang="en"><head><meta charset="utf-8"><title>{{.Instance}}</title></head><body>
 <h1>{{.Instance}}</h1>
 <p>Configuration revision {{.Revision}}, known to be the newest {{printf "%.1f" .Age}} s ago.{{if .Leaving}} Leaving.{{end}}{{if .Fault}} Takes no calls: {{.Fault}}.{{end}}</p>
+<p>{{.Running}} generations running, {{.Resumed}} recovered on another engine since the start.</p>
 <h2>Sheets</h2><table><tr><th>member<th>date<th>organisations</tr>
 {{range .Sheets}}<tr><td>{{.Member}}<td>{{.Date}}<td>{{.Organisations}}</tr>{{end}}</table>
 <h2>Instances</h2><table><tr><th>name<th>failure domain<th>state<th>leaving</tr>
--- a/lab/internal/bench/bench.go
+++ b/lab/internal/bench/bench.go
@@ -111,6 +111,9 @@
 
 // Run measures every policy under every fault and prints the table.
 func Run(ctx context.Context, s Settings, out io.Writer) error {
+	if len(s.Policies) == 0 {
+		return errors.New("no policies to measure")
+	}
 	b := &bench{settings: s, out: out}
 	var err error
 	if b.entries, err = processes(s.Entries); err != nil {
@@ -119,8 +122,12 @@
 	if b.engines, err = processes(s.Engines); err != nil {
 		return err
 	}
+	_, firstKey, _ := strings.Cut(s.Policies[0], "=")
+	if err := b.calm(ctx, firstKey); err != nil {
+		return fmt.Errorf("undisturbed: %w", err)
+	}
 	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "FAULT\tPOLICY\tSTREAMS\tRESUME p50\tp95\tp99\tMAX\tEXTRA DECODE\tEXTRA PREFILL\tFIRST TOKEN p95\tBETWEEN p95\tREFUSED\tWRONG")
+	_, _ = fmt.Fprintln(w, "\nFAULT\tPOLICY\tSTREAMS\tRESUME p50\tp95\tp99\tMAX\tEXTRA DECODE\tEXTRA PREFILL\tFIRST TOKEN p95\tBETWEEN p95\tREFUSED\tWRONG")
 	for _, f := range []Fault{EngineKill{}, SilentConnection{}, InstanceKill{}, BothKill{}} {
 		for _, policy := range s.Policies {
 			name, key, ok := strings.Cut(policy, "=")
