proof: the platform's budget in the worst minute

Cause: calls to the platform in a mass restart were computed, not run. Change: 40 nodes in virtual time start at once, live through an outage and a freeze of a minute, and restart in an outage; the worst minute, scaled to 410 nodes, is held to half of the platform's rates.

--- a/entry/internal/proof/world_test.go
+++ b/entry/internal/proof/world_test.go
@@ -57,6 +57,7 @@
 	hooks      map[string][]func()
 	allNodes   []*node.Node
 	paused     bool         // paused tells whether anything was ever paused.
+	calls      calls        // calls counts calls to the platform.
 	catchOrder bool         // catchOrder makes the next order to an engine stay in the network.
 	lateOrder  func() error // lateOrder delivers the order that was caught.
 	refusing   bool         // refusing tells whether the platform refuses every call.
@@ -74,6 +75,7 @@
 		cuts:       make(map[[2]string]bool),
 		changed:    make(chan struct{}),
 		hooks:      make(map[string][]func()),
+		calls:      calls{reads: make(map[int64]int), writes: make(map[int64]int)},
 	}
 	// Go 1.26's race detector crashes when the first timer of a bubble is found due by a select; a sleep first avoids that.
 	time.Sleep(time.Nanosecond)
@@ -321,6 +323,7 @@
 }
 
 func (f *fakeStore) Changes(ctx context.Context, kinds []string, after uint64, wait time.Duration) (store.Page, error) {
+	f.w.count(false)
 	ctx, cancel := f.bounded(ctx, wait)
 	defer cancel()
 	if f.w.pass(ctx, f.self, platformName) != nil {
@@ -334,6 +337,7 @@
 }
 
 func (f *fakeStore) Get(ctx context.Context, kind, name string) (store.Object, error) {
+	f.w.count(false)
 	ctx, cancel := f.bounded(ctx, 0)
 	defer cancel()
 	if f.w.pass(ctx, f.self, platformName) != nil {
@@ -347,6 +351,7 @@
 }
 
 func (f *fakeStore) Instances(ctx context.Context) ([]store.Instance, error) {
+	f.w.count(false)
 	ctx, cancel := f.bounded(ctx, 0)
 	defer cancel()
 	if f.w.pass(ctx, f.self, platformName) != nil {
@@ -356,6 +361,7 @@
 }
 
 func (f *fakeStore) List(ctx context.Context, kinds []string) (store.Page, error) {
+	f.w.count(false)
 	ctx, cancel := f.bounded(ctx, 0)
 	defer cancel()
 	if f.w.pass(ctx, f.self, platformName) != nil {
@@ -365,6 +371,7 @@
 }
 
 func (f *fakeStore) Put(ctx context.Context, o store.Object) (uint64, error) {
+	f.w.count(true)
 	ctx, cancel := f.bounded(ctx, 0)
 	defer cancel()
 	if f.w.pass(ctx, f.self, platformName) != nil {
