once: a refusal speaks of the key, not of the one sending

Cause: read while checking the claims' path: a repeated key whose claim could not be read, or whose service had no target left, was refused with 'executed: no' although an earlier sending had run. A caller would have ordered again. The matrix did not see it, since it asked only whether all answers said no. Change: 'no' is said only when the platform shows no other claim of the key; else 'unknown', which may be sent again. The matrix now fails when any answer says no after the order ran. Ruled out: 'no' meaning this sending alone (nobody can act on it). Cost: in an outage of the platform a claimed order is refused with unknown, where it said no; issued keys go on as before.

--- a/entry/internal/once/once.go
+++ b/entry/internal/once/once.go
@@ -152,7 +152,7 @@
 	}
 	targets := o.targets.Services(order.Service)
 	if len(targets) == 0 {
-		return unavailable("no target of service %s takes calls", order.Service)
+		return o.unused(ctx, name, "", "no target of service "+order.Service+" takes calls")
 	}
 	c := claim{Instance: o.self, BodyHash: bodyHash(order.Call), At: time.Now()}.withTarget(targets[0].Address)
 	held, err := o.claims.write(ctx, store.Object{Kind: KindClaim, Name: name}, c)
@@ -163,7 +163,20 @@
 		return o.follow(ctx, order, l, name, targets)
 	default:
 		l.writeID = held.WriteID
-		return unavailable("the platform could not record the key in time")
+		return o.unused(ctx, name, held.WriteID, "the platform could not record the key in time")
+	}
+}
+
+// unused refuses a call that was not sent now, and says that it was not run only if no other claim shows an earlier sending of its key.
+func (o *Once) unused(ctx context.Context, name, writeID, detail string) chain.Answer {
+	_, held, err := o.claims.read(ctx, name)
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		return unavailable("%s", detail)
+	case err == nil && writeID != "" && held.WriteID == writeID:
+		return unavailable("%s", detail)
+	default:
+		return o.outcomeUnknown(detail + "; whether the key was used before is not known")
 	}
 }
 
@@ -330,7 +343,7 @@
 // outcomeUnknown refuses a call of which nobody can say whether it ran.
 func (o *Once) outcomeUnknown(detail string) chain.Answer {
 	o.unknown.Inc()
-	return chain.Refuse(deny.New(deny.KindOutcome, "%s", detail).WithExecuted(deny.ExecutedUnknown))
+	return chain.Refuse(deny.New(deny.KindOutcome, "%s", detail).WithExecuted(deny.ExecutedUnknown).WithRetryAfter(time.Second))
 }
 
 // before returns a context that leaves time to settle before the call's own deadline.
--- a/entry/internal/proof/order_test.go
+++ b/entry/internal/proof/order_test.go
@@ -40,6 +40,7 @@
 // try is one sending of the order.
 type try struct {
 	answered bool
+	at       time.Time // at is when the answer came.
 	answer   chain.Answer
 	took     time.Duration
 	alive    bool // alive tells whether the instance ran all the time.
@@ -158,6 +159,7 @@
 		t.answered = true
 	case <-time.After(orderPatience):
 	}
+	t.at = time.Now()
 	t.took = time.Since(began)
 	o.w.mu.Lock()
 	t.alive = o.w.conditions[name] == running
@@ -188,6 +190,9 @@
 				return fmt.Sprintf("try %d was answered %d and the order never ran", i, a.Status)
 			}
 		case chain.Refused:
+			if a.Refusal.Executed == deny.ExecutedNo && o.w.ranBefore(o.key, t.at) {
+				return fmt.Sprintf("try %d was told that the order was not run after it ran", i)
+			}
 			allNo = allNo && a.Refusal.Executed == deny.ExecutedNo
 		default:
 			allNo = false
