--- a/entry/internal/front/stream.go
+++ b/entry/internal/front/stream.go
@@ -67,7 +67,7 @@
 	s.begun = true
 	s.w.Header().Set("Content-Type", "text/event-stream")
 	s.w.Header().Set("Cache-Control", "no-store")
-	_, _ = fmt.Fprintf(s.w, "retry: %d\n\n", retryHint)
+	_, _ = fmt.Fprintf(s.w, "retry: %d\n", retryHint)
 }
 
 // finish writes the end of the stream, or a refusal in its place.
