--- a/entry/internal/steer/steer.go
+++ b/entry/internal/steer/steer.go
@@ -18,9 +18,10 @@
 )
 
 const (
-	kindLease  = "lease"
-	leaseName  = "engine-orders"
-	loadsAtOne = 2 // loadsAtOne bounds the engines that are told to load in one round, as the weight store is rate-limited.
+	kindLease   = "lease"
+	leaseName   = "engine-orders"
+	loadsAtOnce = 2  // loadsAtOnce bounds the engines that are told to load in one round, as the weight store is rate-limited.
+	readsAtOnce = 20 // readsAtOnce bounds the engines that are read back in one round, so that the holder's cost does not grow with their number.
 )
 
 // Roles tells whether this instance should hold the lease.
@@ -180,7 +181,7 @@
 	}
 	targets := slices.DeleteFunc(snapshot.Targets(), func(t conf.Target) bool { return len(t.Models) == 0 || t.Leaving })
 	loads := 0
-	for range targets {
+	for range min(len(targets), readsAtOnce) {
 		t := targets[s.next%len(targets)]
 		s.next++
 		ordered, err := s.reconcile(ctx, t)
@@ -190,7 +191,7 @@
 		if ordered {
 			loads++
 		}
-		if loads == loadsAtOne || time.Now().Add(fence.OrderBound).After(s.seen.Until) {
+		if loads == loadsAtOnce || time.Now().Add(fence.OrderBound).After(s.seen.Until) {
 			return
 		}
 	}
