--- a/entry/internal/gate/gate_test.go
+++ b/entry/internal/gate/gate_test.go
@@ -65,9 +65,10 @@
 				var group sync.WaitGroup
 				served := make(map[string]*atomic.Int64)
 				for organisation, callers := range test.callers {
-					served[organisation] = new(atomic.Int64)
+					count := new(atomic.Int64)
+					served[organisation] = count
 					for range callers {
-						group.Go(func() { serve(ctx, g, s, organisation, test.shares[organisation], served[organisation]) })
+						group.Go(func() { serve(ctx, g, s, organisation, test.shares[organisation], count) })
 					}
 				}
 				group.Wait()
