--- a/entry/internal/proof/steer_test.go
+++ b/entry/internal/proof/steer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,19 +35,20 @@
 				}
 				declare(`"m"`)
 				w.until(t, 20*time.Second, "first models", func() bool { return e.holds("m") })
-				paused := ""
+				var paused atomic.Pointer[string]
 				w.hook("order", func() {
-					paused = w.names()[slices.IndexFunc(w.names(), func(n string) bool { return w.nodes[n].Fleet.Elected("steer", 1) })]
+					name := w.names()[slices.IndexFunc(w.names(), func(n string) bool { return w.nodes[n].Fleet.Elected("steer", 1) })]
 					w.mu.Lock()
 					w.catchOrder = true
 					w.mu.Unlock()
-					w.set(paused, frozen)
+					w.set(name, frozen)
+					paused.Store(&name)
 				})
 				declare(`"m","old"`)
-				w.until(t, 20*time.Second, "order under way", func() bool { return paused != "" })
+				w.until(t, 20*time.Second, "order under way", func() bool { return paused.Load() != nil })
 				declare(`"m","new"`)
 				w.until(t, 40*time.Second, "order of the next holder", func() bool { return e.holds("m", "new") })
-				w.set(paused, running)
+				w.set(*paused.Load(), running)
 				err := w.lateOrder()
 				if taken := e.holds("m", "old"); taken != test.ignores || (err != nil) == test.ignores {
 					t.Errorf("late order taken: %t, want %t (%v)", taken, test.ignores, err)
