gate, lend: two methods that nothing calls

Cause: reading the whole change once more: Gate.Wait and Lend.Running were never called. Change: both are gone; nothing else. Behaviour is as it was. Ruled out: a shared start for the controllers' constructors (gate and steer look alike there, but the house style wants the closure in each constructor), and one TestMain for the four packages with properties (a test file cannot be shared without code outside tests).

--- a/entry/internal/gate/gate.go
+++ b/entry/internal/gate/gate.go
@@ -98,11 +98,6 @@
 	return nil, err
 }
 
-// Wait estimates how long a new generation of an organisation would wait.
-func (g *Gate) Wait(organisation string, share float64) time.Duration {
-	return g.queue.Load().Wait(organisation, share, float64(g.rate.Load())/1000)
-}
-
 // enqueue adds a ticket, unless it would surely wait beyond its deadline.
 func (g *Gate) enqueue(organisation, model string, share float64, deadline time.Time) (ticket fair.Ticket, passed chan bool, err error) {
 	passed = make(chan bool, 1)
--- a/entry/internal/lend/lend.go
+++ b/entry/internal/lend/lend.go
@@ -119,11 +119,6 @@
 	return answer
 }
 
-// Running returns the generations of an organisation that hold a slot here.
-func (l *Lend) Running(organisation string) int {
-	return int(l.account(organisation).running.Load())
-}
-
 // Take takes a slot whether one is free or not.
 func (l *Lend) Take(organisation string) (release func()) {
 	a := l.account(organisation)
