entry: chain, filter and fleet become importable

Cause: the users' platform is served by a program of its own in platform/, which Go's internal wall keeps from the packages that any front end uses. Ruled out: moving all of entry/internal; the rest is not needed there.

--- a/entry/internal/filter/check.go
+++ b/entry/filter/check.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"bramleywharf.example/core/deny"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 )
 
 // Bounds of one generation.
--- a/entry/internal/filter/identify.go
+++ b/entry/filter/identify.go
@@ -8,7 +8,7 @@
 
 	"bramleywharf.example/core/conf"
 	"bramleywharf.example/core/deny"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 )
 
 // queueRetry is what callers are told when engines are full.
--- a/entry/internal/filter/limit.go
+++ b/entry/filter/limit.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"bramleywharf.example/core/deny"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 )
 
 // Ceilings lends slots of the organisations' ceilings.
--- a/entry/internal/filter/record.go
+++ b/entry/filter/record.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"bramleywharf.example/core/deny"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 )
--- a/entry/internal/filter/share.go
+++ b/entry/filter/share.go
@@ -5,7 +5,7 @@
 
 	"bramleywharf.example/core/deny"
 	"bramleywharf.example/core/fair"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 	"github.com/pkg/errors"
 )
 
--- a/entry/internal/admin/admin.go
+++ b/entry/internal/admin/admin.go
@@ -12,7 +12,7 @@
 	"bramleywharf.example/core/conf"
 	"bramleywharf.example/core/member"
 	"bramleywharf.example/core/route"
-	"bramleywharf.example/entry/internal/fleet"
+	"bramleywharf.example/entry/fleet"
 	"bramleywharf.example/entry/internal/pool"
 	"bramleywharf.example/entry/internal/watch"
 	"github.com/VictoriaMetrics/metrics"
--- a/entry/internal/front/complete.go
+++ b/entry/internal/front/complete.go
@@ -8,7 +8,7 @@
 
 	"bramleywharf.example/core/conf"
 	"bramleywharf.example/core/deny"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 )
 
 // defaultMaxTokens is the bound of an answer whose request names none.
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -9,7 +9,7 @@
 
 	"bramleywharf.example/core/deny"
 	"bramleywharf.example/core/token"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 )
 
 const (
--- a/entry/internal/front/front_test.go
+++ b/entry/internal/front/front_test.go
@@ -9,7 +9,7 @@
 
 	"bramleywharf.example/core/deny"
 	"bramleywharf.example/core/flow"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 	"github.com/frankban/quicktest"
 )
 
--- a/entry/internal/front/problem.go
+++ b/entry/internal/front/problem.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"bramleywharf.example/core/deny"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 )
 
 // retryNow is what callers of a leaving instance are told to wait.
--- a/entry/internal/front/stream.go
+++ b/entry/internal/front/stream.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"bramleywharf.example/core/flow"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 )
 
 // writeBound is the time after which a caller that takes nothing is given up.
--- a/entry/internal/once/issuer.go
+++ b/entry/internal/once/issuer.go
@@ -18,7 +18,7 @@
 	"bramleywharf.example/core/member"
 	"bramleywharf.example/core/peer"
 	"bramleywharf.example/core/wire"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/internal/engine"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
--- a/entry/internal/once/once.go
+++ b/entry/internal/once/once.go
@@ -13,7 +13,7 @@
 	"bramleywharf.example/core/route"
 	"bramleywharf.example/core/store"
 	"bramleywharf.example/core/wait"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/internal/engine"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
--- a/entry/internal/proof/answer_test.go
+++ b/entry/internal/proof/answer_test.go
@@ -5,7 +5,7 @@
 	"testing/synctest"
 
 	"bramleywharf.example/core/deny"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 	"github.com/frankban/quicktest"
 )
 
--- a/entry/internal/proof/order_test.go
+++ b/entry/internal/proof/order_test.go
@@ -12,7 +12,7 @@
 
 	"bramleywharf.example/core/deny"
 	"bramleywharf.example/core/store"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 )
 
 const (
--- a/entry/internal/relay/run.go
+++ b/entry/internal/relay/run.go
@@ -8,7 +8,7 @@
 	"bramleywharf.example/core/deny"
 	"bramleywharf.example/core/flow"
 	"bramleywharf.example/core/token"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/internal/engine"
 )
 
--- a/entry/internal/serve/serve.go
+++ b/entry/internal/serve/serve.go
@@ -13,7 +13,7 @@
 	"bramleywharf.example/core/route"
 	"bramleywharf.example/core/token"
 	"bramleywharf.example/core/wire"
-	"bramleywharf.example/entry/internal/chain"
+	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/internal/engine"
 	"bramleywharf.example/entry/internal/once"
 	"bramleywharf.example/entry/internal/pool"
--- a/lab/internal/cmds/shape_test.go
+++ b/lab/internal/cmds/shape_test.go
@@ -105,7 +105,7 @@
 	for name, dir := range map[string]string{
 		"conf": "core/conf", "deny": "core/deny", "fair": "core/fair", "fence": "core/fence", "flow": "core/flow",
 		"limit": "core/limit", "member": "core/member", "route": "core/route",
-		"chain": "entry/internal/chain", "filter": "entry/internal/filter", "relay": "entry/internal/relay",
+		"chain": "entry/chain", "filter": "entry/filter", "relay": "entry/internal/relay",
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
