platform: the whole path on the users' platform, thin

Cause: nothing of the product ran where its users run it. Change: deploy file, platform/ with settings, store client, front and directory; the product grows routed requests (core/site, core/mirror, core/health, core/retry, entry/feed, entry/link, entry/picker, entry/pass). Ruled out: http.Transport toward targets, which repeats and pairs by itself.

--- a/core/deny/refusal.go
+++ b/core/deny/refusal.go
@@ -26,6 +26,7 @@
 	KindLost         Kind = "lost"         // KindLost is a generation that can no longer be continued.
 	KindMalformed    Kind = "malformed"    // KindMalformed is a request that cannot be understood.
 	KindOutcome      Kind = "outcome"      // KindOutcome is a non-idempotent call whose outcome cannot be known.
+	KindTimeout      Kind = "timeout"      // KindTimeout is an answer that did not come in time.
 	KindTooLarge     Kind = "too-large"    // KindTooLarge is a request over a size bound.
 	KindUnauthorised Kind = "unauthorised" // KindUnauthorised is a missing or wrong key.
 	KindUnavailable  Kind = "unavailable"  // KindUnavailable is a lack of targets, platform or time.
--- /dev/null
+++ b/core/spill/doc.go
@@ -0,0 +1,2 @@
+// Package spill writes log lines without ever blocking who logs.
+package spill
--- a/core/wire/codec.go
+++ b/core/wire/codec.go
@@ -27,6 +27,8 @@
 	Spend      *Spend      `cbor:"10,keyasint,omitempty"`
 	Spent      *Spent      `cbor:"11,keyasint,omitempty"`
 	Failed     *Failed     `cbor:"12,keyasint,omitempty"`
+	Pull       *Pull       `cbor:"13,keyasint,omitempty"`
+	Pages      *Pages      `cbor:"14,keyasint,omitempty"`
 }
 
 // Decode returns the message of an encoding.
@@ -60,6 +62,10 @@
 		return *e.Spent, nil
 	case e.Failed != nil:
 		return *e.Failed, nil
+	case e.Pull != nil:
+		return *e.Pull, nil
+	case e.Pages != nil:
+		return *e.Pages, nil
 	default:
 		return nil, ErrEmpty
 	}
@@ -101,6 +107,10 @@
 		return envelope{Spent: &t}
 	case Failed:
 		return envelope{Failed: &t}
+	case Pull:
+		return envelope{Pull: &t}
+	case Pages:
+		return envelope{Pages: &t}
 	default:
 		return envelope{}
 	}
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -127,6 +127,29 @@
 	RetryAfter  time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
+// Mark says up to which revision the sender knows one kind of stored objects.
+type Mark struct {
+	Kind string `cbor:"1,keyasint"`
+	At   uint64 `cbor:"2,keyasint"`
+}
+
+// Pull asks for what changed after the sender's marks.
+type Pull struct {
+	Marks []Mark `cbor:"1,keyasint"`
+}
+
+// Pages answers Pull with the changes of each kind.
+type Pages struct {
+	Pages []KindPage `cbor:"1,keyasint,omitempty"`
+}
+
+// KindPage holds the changes of one kind up to a revision.
+type KindPage struct {
+	Kind    string         `cbor:"1,keyasint"`
+	At      uint64         `cbor:"2,keyasint"`
+	Objects []ConfigObject `cbor:"3,keyasint,omitempty"`
+}
+
 // Failed answers a message that could not be handled.
 type Failed struct {
 	Reason string `cbor:"1,keyasint"`
@@ -143,4 +166,6 @@
 func (Lent) isMessage()       {}
 func (Spend) isMessage()      {}
 func (Spent) isMessage()      {}
+func (Pull) isMessage()       {}
+func (Pages) isMessage()      {}
 func (Failed) isMessage()     {}
--- a/entry/chain/answer.go
+++ b/entry/chain/answer.go
@@ -6,7 +6,7 @@
 	"bramleywharf.example/core/deny"
 )
 
-// Answer is the sealed set of answers: Streamed, Whole, Addresses, Refused and Left.
+// Answer is the sealed set of answers: Streamed, Whole, Addresses, Passed, Finished, Severed, Refused and Left.
 type Answer interface {
 	isAnswer()
 }
--- a/entry/chain/call.go
+++ b/entry/chain/call.go
@@ -3,9 +3,10 @@
 import (
 	"bramleywharf.example/core/conf"
 	"bramleywharf.example/core/flow"
+	"bramleywharf.example/core/site"
 )
 
-// Request is the sealed set of requests: Generate, Resume, Invoke and Lookup.
+// Request is the sealed set of requests: Generate, Resume, Invoke, Lookup and Forward.
 type Request interface {
 	isRequest()
 }
@@ -66,7 +67,9 @@
 	Config       *conf.Snapshot
 	Limit        conf.Limit
 	Sink         Sink
-	Entered      func() // Entered is called when the call holds the engine that it was let through to, or is nil.
+	Site         *site.Config // Site judges forwarded requests.
+	Route        site.Route   // Route is that of a forwarded request.
+	Entered      func()       // Entered is called when the call holds the engine that it was let through to, or is nil.
 }
 
 // WithConfig returns a copy that is judged by a snapshot and limit.
@@ -93,3 +96,10 @@
 	c.Request = r
 	return c
 }
+
+// WithRoute returns a copy of a forwarded call on its way along a route.
+func (c Call) WithRoute(s *site.Config, r site.Route) Call {
+	c.Site = s
+	c.Route = r
+	return c
+}
--- a/entry/filter/record.go
+++ b/entry/filter/record.go
@@ -55,6 +55,12 @@
 		return "whole"
 	case chain.Addresses:
 		return "addresses"
+	case chain.Passed:
+		return "passed"
+	case chain.Finished:
+		return "finished"
+	case chain.Severed:
+		return "severed"
 	case chain.Left:
 		return "left"
 	case chain.Refused:
@@ -75,6 +81,8 @@
 		return "invoke"
 	case chain.Lookup:
 		return "lookup"
+	case chain.Forward:
+		return "forward"
 	default:
 		return "none"
 	}
--- /dev/null
+++ b/entry/filter/trace.go
@@ -0,0 +1,111 @@
+package filter
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"bramleywharf.example/core/deny"
+	"bramleywharf.example/core/site"
+	"bramleywharf.example/entry/chain"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+)
+
+// ordinaryLines bounds the lines a second for calls that went as they should; the others always have theirs.
+const ordinaryLines = 5
+
+// Trace logs one line for each call, of those that went as they should only a few.
+type Trace struct {
+	log     log.Interface
+	began   time.Time
+	second  atomic.Int64
+	lines   atomic.Int64
+	skipped *metrics.Counter
+}
+
+var _ chain.Filter = (*Trace)(nil)
+
+// NewTrace returns a filter that logs calls and counts those it leaves out.
+func NewTrace(logger log.Interface, set *metrics.Set) *Trace {
+	return &Trace{log: logger, began: time.Now(), skipped: set.GetOrCreateCounter("bramleywharf_log_ordinary_skipped_total")}
+}
+
+// Handle logs the call once it is answered.
+func (t *Trace) Handle(ctx context.Context, c chain.Call, next chain.Handler) chain.Answer {
+	began := time.Now()
+	var located chain.Call
+	answer := next(context.WithValue(ctx, locatedKey{}, &located), c)
+	t.note(c, located, answer, time.Since(began))
+	return answer
+}
+
+// Noted fills in what the trace of a call says of its route.
+type Noted struct{}
+
+var _ chain.Filter = Noted{}
+
+// locatedKey finds the call to fill in.
+type locatedKey struct{}
+
+// Handle hands the located call to the trace around it.
+func (Noted) Handle(ctx context.Context, c chain.Call, next chain.Handler) chain.Answer {
+	if located, ok := ctx.Value(locatedKey{}).(*chain.Call); ok {
+		*located = c
+	}
+	return next(ctx, c)
+}
+
+// note logs one call.
+func (t *Trace) note(c, located chain.Call, answer chain.Answer, took time.Duration) {
+	fields := log.Fields{"request": c.ID, "took-ms": took.Milliseconds(), "route": located.Route.Name}
+	if located.Site != nil {
+		fields["config-version"] = located.Site.Version
+		fields["organisation"] = located.Organisation
+	}
+	switch a := answer.(type) {
+	case chain.Passed:
+		fields["status"] = a.Head.Status
+		t.ordinary(fields, "answered", located, took)
+	case chain.Finished:
+		fields["events"], fields["resumed"] = a.Events, a.Resumed
+		if a.Resumed > 0 {
+			t.log.WithFields(fields).Info("stream finished after it was resumed")
+			return
+		}
+		t.ordinary(fields, "stream finished", located, took)
+	case chain.Severed:
+		t.log.WithFields(fields).WithField("cause", a.Reason).Warn("stream severed")
+	case chain.Refused:
+		t.refused(fields, a.Refusal)
+	default:
+		t.log.WithFields(fields).Info("caller left")
+	}
+}
+
+// ordinary logs a call that went as it should, unless enough such lines were written in this second or it was late.
+func (t *Trace) ordinary(fields log.Fields, message string, c chain.Call, took time.Duration) {
+	if _, streamed := c.Route.Repeat.(site.Stream); !streamed && c.Route.Aim > 0 && took > c.Route.Aim {
+		t.log.WithFields(fields).WithField("aim-ms", c.Route.Aim.Milliseconds()).Info(message + " late")
+		return
+	}
+	second := int64(time.Since(t.began) / time.Second)
+	if t.second.Swap(second) != second {
+		t.lines.Store(0)
+	}
+	if t.lines.Add(1) > ordinaryLines {
+		t.skipped.Inc()
+		return
+	}
+	t.log.WithFields(fields).Info(message)
+}
+
+// refused logs a refusal with its reason.
+func (t *Trace) refused(fields log.Fields, r deny.Refusal) {
+	t.log.WithFields(fields).WithFields(log.Fields{
+		"kind":     string(r.Kind),
+		"executed": string(r.Executed),
+		"cause":    r.Detail,
+		"retry-ms": r.RetryAfter.Milliseconds(),
+	}).Info("refused")
+}
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -21,7 +21,7 @@
 	helpers        = 2                      // helpers is the number of members asked to probe on one's behalf.
 	suspectLife    = 2 * time.Second        // suspectLife is the time that a suspect has to refute.
 	deadLife       = 10 * time.Minute       // deadLife is how long a dead member is remembered.
-	listPeriod     = 2 * time.Second        // listPeriod is the time between two reads of the platform's list.
+	listPeriod     = 2 * time.Second        // listPeriod is the time between two reads of the platform's list, unless the settings name another.
 	revisitPeriod  = 2 * time.Second        // revisitPeriod is the time between two attempts to reach a dead member.
 	pushFanout     = 4                      // pushFanout is the number of members told at once of a new configuration.
 )
@@ -36,17 +36,24 @@
 	Revision() uint64
 }
 
+// Lister reads the platform's list of instances.
+type Lister interface {
+	// Instances returns the lagging list of live and leaving instances.
+	Instances(ctx context.Context) ([]store.Instance, error)
+}
+
 // Settings configures a fleet controller.
 type Settings struct {
-	Self  member.Member
-	Seeds []string // Seeds lists peer addresses to ask when the platform's list cannot be had.
+	Self       member.Member
+	Seeds      []string      // Seeds lists peer addresses to ask when the platform's list cannot be had.
+	ListPeriod time.Duration // ListPeriod is the time between two reads of the platform's list; 0 takes the default.
 }
 
 // Fleet keeps the view of the members.
 type Fleet struct {
 	settings Settings
 	net      peer.Net
-	store    store.Store
+	list     Lister
 	fresh    Freshness
 	log      log.Interface
 	view     *cell.Cell[member.View]
@@ -64,11 +71,11 @@
 }
 
 // New returns a fleet that knows itself alone and begins to look for others.
-func New(s Settings, net peer.Net, platform store.Store, fresh Freshness, logger log.Interface, set *metrics.Set) *Fleet {
+func New(s Settings, net peer.Net, platform Lister, fresh Freshness, logger log.Interface, set *metrics.Set) *Fleet {
 	f := &Fleet{
 		settings: s,
 		net:      net,
-		store:    platform,
+		list:     platform,
 		fresh:    fresh,
 		log:      logger,
 		news:     newNews(),
@@ -79,6 +86,9 @@
 		since:    make(map[string]time.Time),
 		listed:   make(map[string]bool),
 	}
+	if f.settings.ListPeriod == 0 {
+		f.settings.ListPeriod = listPeriod
+	}
 	view, _ := member.View{}.WithMember(s.Self)
 	f.view = cell.New(view)
 	f.news.add(s.Self, 1)
--- a/entry/fleet/loop.go
+++ b/entry/fleet/loop.go
@@ -51,7 +51,7 @@
 	f.join(ctx)
 	probe := time.NewTicker(probePeriod)
 	defer probe.Stop()
-	list := time.NewTicker(listPeriod)
+	list := time.NewTicker(f.settings.ListPeriod)
 	defer list.Stop()
 	revisit := time.NewTicker(revisitPeriod)
 	defer revisit.Stop()
@@ -100,7 +100,7 @@
 
 // join learns the members from the platform's list or, without it, from the seeds.
 func (f *Fleet) join(ctx context.Context) {
-	f.list(ctx)
+	f.readAll(ctx)
 	addresses := append([]string(nil), f.settings.Seeds...)
 	for _, m := range f.View().Neighbours(f.settings.Self.Name, neighbourCount) {
 		addresses = append(addresses, m.PeerAddress)
@@ -116,9 +116,9 @@
 	f.push(ctx)
 }
 
-// list lets the platform's list add members.
-func (f *Fleet) list(ctx context.Context) {
-	list, err := f.store.Instances(ctx)
+// readAll lets the platform's list add members.
+func (f *Fleet) readAll(ctx context.Context) {
+	list, err := f.list.Instances(ctx)
 	if err != nil {
 		return
 	}
@@ -194,7 +194,7 @@
 // readList reads the platform's list if this instance is one of its readers or knows no others.
 func (f *Fleet) readList(ctx context.Context) {
 	if f.Elected("list", readers) {
-		f.list(ctx)
+		f.readAll(ctx)
 	}
 }
 
--- /dev/null
+++ b/entry/pass/flight.go
@@ -0,0 +1,233 @@
+package pass
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"bramleywharf.example/core/deny"
+	"bramleywharf.example/core/flow"
+	"bramleywharf.example/core/site"
+	"bramleywharf.example/core/wait"
+	"bramleywharf.example/entry/chain"
+	"bramleywharf.example/entry/picker"
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+)
+
+const (
+	targetWait  = 400 * time.Millisecond  // targetWait is how long a stream waits for a target before it is refused; an eighth of the sheet's aim of 4.5 s is free.
+	resumeWait  = 1500 * time.Millisecond // resumeWait is how long a begun stream waits for a target; its caller gives it up after 5.6 s of silence.
+	targetPause = 50 * time.Millisecond   // targetPause is the time between two looks for a target.
+)
+
+// flight is a stream on its way; one goroutine owns it.
+type flight struct {
+	pass    *Pass
+	call    chain.Call
+	request chain.Forward
+	policy  site.Stream
+	service string
+	copies  bool // copies tells that targets keep copies for each other.
+	avoid   map[string]bool
+	sends   int
+	unsent  int
+	resumed int
+	events  int
+	last    string // last is the id of the last event that the caller has.
+	begun   bool   // begun tells that the caller has the head of the response.
+	ran     bool   // ran tells that a target may have run the request.
+	failure *chain.Passed
+	backup  site.Target // backup may hold a copy of the run, or has no name.
+	gaps    flow.Gaps
+	sent    time.Time // sent is when the last event was delivered.
+}
+
+// newFlight returns a stream that has not been sent.
+func newFlight(p *Pass, c chain.Call, f chain.Forward, policy site.Stream) *flight {
+	g := &flight{
+		pass:    p,
+		call:    c,
+		request: f,
+		policy:  policy,
+		service: c.Route.Pick(rand.Float64()),
+		avoid:   make(map[string]bool),
+		last:    f.LastEvent,
+	}
+	if service, ok := c.Site.Service(g.service); ok && service.Engine != nil {
+		g.copies = service.Engine.Copies
+	}
+	return g
+}
+
+// run sends the request and goes on elsewhere until the stream is complete or may not go on.
+func (g *flight) run(ctx context.Context) chain.Answer {
+	g.pass.request(g.service)
+	for {
+		pick, source, ok := g.choose(ctx)
+		if !ok {
+			return g.giveUp(ctx, "no target of the service is left")
+		}
+		began := time.Now()
+		result := g.attempt(ctx, pick, source)
+		pick.Release()
+		if answer, done := g.judge(ctx, pick, result, began); done {
+			return answer
+		}
+	}
+}
+
+// choose returns the next target, and the address of the copy to go on from if that target has one.
+func (g *flight) choose(ctx context.Context) (*picker.Pick, string, bool) {
+	if g.backup.Name != "" && g.events > 0 {
+		backup := g.backup
+		g.backup = site.Target{}
+		if pick, ok := g.pass.picker.Named(backup.Name); ok && !pick.Suspect() {
+			return pick, backup.Address, true
+		} else if ok {
+			pick.Release()
+		}
+	}
+	patience := targetWait
+	if g.begun {
+		patience = resumeWait
+	}
+	until := time.Now().Add(patience)
+	for {
+		pick, ok := g.pass.picker.Stream(g.want())
+		if ok {
+			return pick, "", true
+		}
+		clear(g.avoid)
+		if time.Now().After(until) || !wait.For(ctx, targetPause) {
+			return nil, "", false
+		}
+	}
+}
+
+// want describes the target that is needed.
+func (g *flight) want() picker.Want {
+	session := g.request.Session
+	if session == "" {
+		session = g.call.ID
+	}
+	return picker.Want{Service: g.service, Session: session, Prompt: g.request.Prompt, Avoid: g.avoid}
+}
+
+// judge decides what follows from the end of an attempt.
+func (g *flight) judge(ctx context.Context, pick *picker.Pick, result ending, began time.Time) (chain.Answer, bool) {
+	switch r := result.(type) {
+	case complete:
+		return chain.Finished{Events: g.events, Resumed: g.resumed}, true
+	case refusedBy:
+		if !g.begun && !(r.passed.Head.Status >= 500 && g.policy.Resumable) {
+			return r.passed, true
+		}
+		pick.Failed()
+		g.failure = &r.passed
+	case unwanted:
+		return chain.Left{}, true
+	case unrun:
+		g.drop(pick, r.lost, r.cause)
+	case broken:
+		g.drop(pick, true, r.cause)
+	}
+	g.avoid[pick.Target.Name] = true
+	if _, ok := result.(unrun); !ok {
+		g.ran = true
+	}
+	if ctx.Err() != nil {
+		return g.giveUp(ctx, "time is up"), true
+	}
+	g.note(pick, result, began)
+	return g.again(result)
+}
+
+// drop tells the picker of a failed attempt.
+func (g *flight) drop(pick *picker.Pick, lost bool, cause string) {
+	if lost {
+		pick.Lost(cause)
+		return
+	}
+	pick.Failed()
+}
+
+// again tells whether the stream may go on at another target.
+func (g *flight) again(result ending) (chain.Answer, bool) {
+	if r, ok := result.(unrun); ok && !r.sent {
+		g.unsent++
+		if g.unsent <= maxUnsent*2 {
+			return nil, false
+		}
+	}
+	reason := ""
+	switch {
+	case g.ran && !g.policy.Resumable:
+		reason = "its target failed and it may not be resumed"
+	case g.sends >= g.call.Route.Attempts:
+		reason = "its attempts are used up"
+	case !g.pass.repeat(g.service):
+		reason = "the retry bound is reached"
+	default:
+		return nil, false
+	}
+	return g.conclude(reason), true
+}
+
+// conclude answers when the stream goes on nowhere.
+func (g *flight) conclude(reason string) chain.Answer {
+	switch {
+	case g.begun:
+		g.pass.counts.severed.Inc()
+		return chain.Severed{Reason: reason}
+	case g.failure != nil:
+		return *g.failure
+	case g.ran && !g.policy.Resumable:
+		return unknown(deny.KindOutcome, "%s; the request may have run", reason)
+	case g.ran:
+		return unknown(deny.KindOutcome, "%s", reason)
+	default:
+		return unavailable(streamRetry, "%s", reason)
+	}
+}
+
+// giveUp answers when time is up, the caller has left or no target is there.
+func (g *flight) giveUp(ctx context.Context, reason string) chain.Answer {
+	err := ctx.Err()
+	switch {
+	case err == nil:
+		return g.conclude(reason)
+	case !errors.Is(err, context.DeadlineExceeded):
+		return chain.Left{}
+	case g.begun || g.failure != nil || !g.ran:
+		return g.conclude(reason)
+	default:
+		return unknown(deny.KindTimeout, "no event in time")
+	}
+}
+
+// note logs the end of an attempt that did not complete the stream.
+func (g *flight) note(pick *picker.Pick, result ending, began time.Time) {
+	fields := log.Fields{
+		"request": g.call.ID,
+		"target":  pick.Target.Name,
+		"domain":  pick.Target.Domain,
+		"service": g.service,
+		"sends":   g.sends,
+		"events":  g.events,
+		"last":    g.last,
+		"after":   time.Since(began).Milliseconds(),
+		"backup":  g.backup.Name,
+	}
+	switch r := result.(type) {
+	case unrun:
+		g.pass.log.WithFields(fields).WithField("cause", r.cause).Info("target did not run the stream")
+	case broken:
+		if !g.sent.IsZero() {
+			fields["silence"] = time.Since(g.sent).Milliseconds()
+		}
+		g.pass.log.WithFields(fields).WithField("cause", r.cause).Info("stream was cut")
+	case refusedBy:
+		g.pass.log.WithFields(fields).WithField("status", r.passed.Head.Status).Info("target failed the stream")
+	}
+}
--- /dev/null
+++ b/entry/picker/choose.go
@@ -0,0 +1,215 @@
+package picker
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bramleywharf.example/core/health"
+	"bramleywharf.example/core/route"
+	"bramleywharf.example/core/site"
+	"github.com/apex/log"
+)
+
+const (
+	plainLatency  = 20 * time.Millisecond // plainLatency stands in for the latency of a target that has not answered yet.
+	explore       = 0.03                  // explore is the share of plain requests that go to a random sound target, so that a belief is renewed.
+	rankCost      = 0.5                   // rankCost is how many streams the next place in the order of a session outweighs.
+	readCost      = 1.0 / 8000            // readCost makes an unread prompt of 8,000 tokens count as much as a running stream.
+	sessionWidth  = 4                     // sessionWidth is the number of targets that a session's streams are spread over.
+	suspectWeight = 1000                  // suspectWeight puts suspects behind every other target.
+)
+
+// Pick is a target that was chosen, with one request counted there until Release.
+type Pick struct {
+	Target site.Target
+	state  *state
+	picker *Picker
+	prompt int
+}
+
+// Want describes the request that a target is chosen for.
+type Want struct {
+	Service string
+	Session string // Session makes the same order of targets on every instance, or is empty.
+	Prompt  int    // Prompt is the number of tokens to be read, or 0.
+	Avoid   map[string]bool
+}
+
+// Plain chooses a target for a request that is answered as a whole.
+func (p *Picker) Plain(w Want) (*Pick, bool) {
+	t := p.table.Load()
+	open := sound(t, w)
+	if len(open) == 0 {
+		return nil, false
+	}
+	now := time.Now()
+	best, cost := 0, 0.0
+	for i, target := range open {
+		s := t.states[target.Name]
+		belief := s.belief.Load()
+		own := float64(s.flying.Load()+1) * belief.Cost(now, plainLatency) * (1 + rand.Float64()/4)
+		if i == 0 || own < cost {
+			best, cost = i, own
+		}
+	}
+	if rand.Float64() < explore {
+		best = rand.IntN(len(open))
+	}
+	return p.hold(t, open[best], 0), true
+}
+
+// Stream chooses a target for a stream: among the first few in the order of its session, the one with the least to do.
+func (p *Picker) Stream(w Want) (*Pick, bool) {
+	t := p.table.Load()
+	open := sound(t, w)
+	if len(open) == 0 {
+		return nil, false
+	}
+	order := ranked(w.Session, open)
+	best, cost := 0, 0.0
+	for i, target := range order {
+		s := t.states[target.Name]
+		load := float64(s.flying.Load()) + readCost*float64(s.reading.Load()) + rankCost*float64(min(i, sessionWidth))
+		if i == 0 || load < cost {
+			best, cost = i, load
+		}
+	}
+	return p.hold(t, order[best], w.Prompt), true
+}
+
+// Backup chooses the target that keeps a copy of a stream: the first in the order of its session outside a failure domain.
+func (p *Picker) Backup(w Want, domain string) (site.Target, bool) {
+	t := p.table.Load()
+	var best site.Target
+	found, cost := false, 0.0
+	for i, target := range ranked(w.Session, sound(t, w)) {
+		own := float64(t.states[target.Name].flying.Load()) + rankCost*float64(min(i, sessionWidth))
+		if target.Domain == domain {
+			own += suspectWeight
+		}
+		if !found || own < cost {
+			best, found, cost = target, true, own
+		}
+	}
+	return best, found
+}
+
+// Named holds a target that is known by name and takes new work.
+func (p *Picker) Named(name string) (*Pick, bool) {
+	t := p.table.Load()
+	target, ok := t.roster.Get(name)
+	if !ok || target.Leaving {
+		return nil, false
+	}
+	return p.hold(t, target, 0), true
+}
+
+// hold counts a request on a target.
+func (p *Picker) hold(t table, target site.Target, prompt int) *Pick {
+	s := t.states[target.Name]
+	s.flying.Add(1)
+	s.reading.Add(int64(prompt))
+	return &Pick{Target: target, state: s, picker: p, prompt: prompt}
+}
+
+// Failed notes that the target failed the request by itself.
+func (k *Pick) Failed() {
+	k.state.update(func(b health.Belief) health.Belief { return b.WithFailure(time.Now()) })
+}
+
+// Heard notes a sign of life.
+func (k *Pick) Heard() {
+	k.state.heard.Store(int64(time.Since(k.picker.began)))
+	if k.state.belief.Load().Suspect(time.Now()) {
+		k.state.update(health.Belief.WithLife)
+	}
+}
+
+// Latency returns the mean latency of the target's whole answers, or 0.
+func (k *Pick) Latency() time.Duration {
+	return k.state.belief.Load().Latency()
+}
+
+// Lost notes that the target could not be reached or fell silent.
+func (k *Pick) Lost(cause string) {
+	k.picker.losses.Inc()
+	suspect := k.state.belief.Load().Suspect(time.Now())
+	k.state.update(func(b health.Belief) health.Belief { return b.WithLoss(time.Now()) })
+	if !suspect {
+		k.picker.log.WithFields(log.Fields{"target": k.Target.Name, "domain": k.Target.Domain, "cause": cause}).Warn("target is suspect")
+	}
+}
+
+// LostSince tells whether any request lost the target after a time.
+func (k *Pick) LostSince(at time.Time) bool {
+	return k.state.belief.Load().LostSince(at)
+}
+
+// Open tells whether the target still takes new work under the same start.
+func (k *Pick) Open() bool {
+	t := k.picker.table.Load()
+	target, ok := t.roster.Get(k.Target.Name)
+	return ok && !target.Leaving && t.states[target.Name] == k.state
+}
+
+// Read notes that the prompt was read.
+func (k *Pick) Read() {
+	k.state.reading.Add(-int64(k.prompt))
+	k.prompt = 0
+}
+
+// Release counts the request off.
+func (k *Pick) Release() {
+	k.Read()
+	k.state.flying.Add(-1)
+}
+
+// Suspect tells whether the target is avoided.
+func (k *Pick) Suspect() bool {
+	return k.state.belief.Load().Suspect(time.Now())
+}
+
+// Succeeded notes a whole answer.
+func (k *Pick) Succeeded(took time.Duration) {
+	k.state.update(func(b health.Belief) health.Belief { return b.WithSuccess(time.Now(), took) })
+}
+
+// ranked returns targets in the order of a session, the same on every instance; without a session the order is random.
+func ranked(session string, targets []site.Target) []site.Target {
+	order := make([]site.Target, 0, len(targets))
+	if session == "" {
+		for _, i := range rand.Perm(len(targets)) {
+			order = append(order, targets[i])
+		}
+		return order
+	}
+	names := make([]string, len(targets))
+	byName := make(map[string]site.Target, len(targets))
+	for i, t := range targets {
+		names[i] = t.Name
+		byName[t.Name] = t
+	}
+	for _, name := range route.Rank(session, names) {
+		order = append(order, byName[name])
+	}
+	return order
+}
+
+// sound returns the open targets of a service that are neither suspect nor to be avoided; when there is none, the suspects too.
+func sound(t table, w Want) []site.Target {
+	now := time.Now()
+	var healthy, rest []site.Target
+	for _, target := range t.roster.Open(w.Service) {
+		switch {
+		case w.Avoid[target.Name]:
+		case t.states[target.Name].belief.Load().Suspect(now):
+			rest = append(rest, target)
+		default:
+			healthy = append(healthy, target)
+		}
+	}
+	if len(healthy) == 0 {
+		return rest
+	}
+	return healthy
+}
--- /dev/null
+++ b/entry/picker/picker.go
@@ -0,0 +1,180 @@
+package picker
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"bramleywharf.example/core/cell"
+	"bramleywharf.example/core/health"
+	"bramleywharf.example/core/site"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+)
+
+const (
+	refresh   = 250 * time.Millisecond  // refresh is the time between two looks at targets that only lapsed.
+	keepLapse = 1800 * time.Millisecond // keepLapse is how long a target that vanished with the store is still used; entries are back within 2 s of its return.
+)
+
+// Source gives the declared targets.
+type Source interface {
+	// Changed returns a channel that closes at the next change.
+	Changed() <-chan struct{}
+	// Settled tells whether targets that are missing are gone.
+	Settled() bool
+	// Targets returns all declared targets that can be read.
+	Targets() []site.Target
+}
+
+// state is what this instance keeps of one start of a target.
+type state struct {
+	started int64
+	address string
+	flying  atomic.Int64 // flying counts the requests of this instance that are running there.
+	reading atomic.Int64 // reading counts the prompt tokens that it has not read yet.
+	belief  atomic.Pointer[health.Belief]
+	heard   atomic.Int64 // heard is when a stream last heard of it, in nanoseconds since the picker began.
+}
+
+// table is the roster with the state of each target; its maps are never changed after construction.
+type table struct {
+	roster *site.Roster
+	states map[string]*state
+}
+
+// Picker keeps the targets and chooses among them.
+type Picker struct {
+	source Source
+	gone   func(address string) // gone is told the address of each target that is gone.
+	log    log.Interface
+	table  *cell.Cell[table]
+	began  time.Time
+	losses *metrics.Counter
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns a picker that follows its source.
+func New(source Source, gone func(address string), logger log.Interface, set *metrics.Set) *Picker {
+	p := &Picker{
+		source: source,
+		gone:   gone,
+		log:    logger,
+		table:  cell.New(table{roster: (&site.Roster{}).WithTargets(nil, time.Now(), 0)}),
+		began:  time.Now(),
+		losses: set.GetOrCreateCounter("bramleywharf_targets_lost_total"),
+		done:   make(chan struct{}),
+	}
+	set.NewGauge("bramleywharf_targets", func() float64 { return float64(p.table.Load().roster.Len()) })
+	set.NewGauge("bramleywharf_targets_suspect", p.suspects)
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	go func() {
+		defer close(p.done)
+		p.loop(ctx)
+	}()
+	return p
+}
+
+// Close stops following the source.
+func (p *Picker) Close() {
+	p.cancel()
+	<-p.done
+}
+
+// Done is closed when the picker has stopped.
+func (p *Picker) Done() <-chan struct{} {
+	return p.done
+}
+
+// loop reconciles the table with the source.
+func (p *Picker) loop(ctx context.Context) {
+	for {
+		changed := p.source.Changed()
+		p.reconcile()
+		var lapsed <-chan time.Time
+		if p.table.Load().roster.Lapsed() {
+			lapsed = time.After(refresh)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-lapsed:
+		}
+	}
+}
+
+// reconcile takes the declared targets into the table.
+func (p *Picker) reconcile() {
+	keep := keepLapse
+	if p.source.Settled() {
+		keep = 0
+	}
+	targets := p.source.Targets()
+	var old, next *site.Roster
+	p.table.Update(func(t table) table {
+		old, next = t.roster, t.roster.WithTargets(targets, time.Now(), keep)
+		return table{roster: next, states: states(t, next)}
+	})
+	for name := range next.Moved(old) {
+		was, _ := old.Get(name)
+		p.gone(was.Address)
+		p.log.WithFields(log.Fields{"target": name, "address": was.Address, "revision": was.Revision}).Info("target is gone or started again")
+	}
+	p.logChanges(old, next)
+}
+
+// logChanges logs targets that are new or leave.
+func (p *Picker) logChanges(old, next *site.Roster) {
+	for _, t := range p.source.Targets() {
+		was, known := old.Get(t.Name)
+		fields := log.Fields{"target": t.Name, "address": t.Address, "service": t.Service, "domain": t.Domain, "revision": t.Revision}
+		switch {
+		case !known && old.Len() > 0:
+			p.log.WithFields(fields).Info("target is new")
+		case known && t.Leaving && !was.Leaving:
+			p.log.WithFields(fields).Info("target leaves")
+		}
+	}
+}
+
+// states returns the states of a roster's targets, those of the same start carried over.
+func states(t table, roster *site.Roster) map[string]*state {
+	next := make(map[string]*state, roster.Len())
+	for _, target := range roster.All() {
+		old, ok := t.states[target.Name]
+		if ok && old.started == target.Started && old.address == target.Address {
+			next[target.Name] = old
+			continue
+		}
+		fresh := &state{started: target.Started, address: target.Address}
+		fresh.belief.Store(&health.Belief{})
+		next[target.Name] = fresh
+	}
+	return next
+}
+
+// suspects counts the targets that are avoided.
+func (p *Picker) suspects() float64 {
+	now := time.Now()
+	count := 0
+	for _, s := range p.table.Load().states {
+		if s.belief.Load().Suspect(now) {
+			count++
+		}
+	}
+	return float64(count)
+}
+
+// update replaces a belief by what change makes of it.
+func (s *state) update(change func(health.Belief) health.Belief) {
+	for {
+		old := s.belief.Load()
+		next := change(*old)
+		if s.belief.CompareAndSwap(old, &next) {
+			return
+		}
+	}
+}
