pass: probes before cuts, the copy belongs to who ran, one target an address

Change: a silent target is probed before it is given up; a copy counts once its run has delivered an event; the newest entry of an address wins; the retry slack is parted among the members. Ruled out: a longer patience alone, which finds dark engines too late.

--- a/core/health/belief.go
+++ b/core/health/belief.go
@@ -20,7 +20,6 @@
 	at       time.Time
 	losses   int // losses counts the losses since the last sign of life.
 	until    time.Time
-	lost     time.Time // lost is the time of the last loss.
 }
 
 // Cost grows with the failures and the latency of a target; fallback stands in for a latency that is not known.
@@ -37,11 +36,6 @@
 	return b.latency
 }
 
-// LostSince tells whether the target was lost after a time.
-func (b Belief) LostSince(t time.Time) bool {
-	return b.lost.After(t)
-}
-
 // Suspect tells whether the target is avoided.
 func (b Belief) Suspect(now time.Time) bool {
 	return now.Before(b.until)
@@ -64,13 +58,11 @@
 // WithLoss returns the belief after a target could not be reached or fell silent; it is avoided twice as long each time.
 func (b Belief) WithLoss(now time.Time) Belief {
 	if b.Suspect(now) {
-		b.lost = now
 		return b
 	}
 	pause := min(suspectFirst<<min(b.losses, 8), suspectMax)
 	b.losses++
 	b.until = now.Add(pause)
-	b.lost = now
 	return b
 }
 
--- a/core/site/target.go
+++ b/core/site/target.go
@@ -54,7 +54,7 @@
 		lapsed:   make(map[string]time.Time),
 		services: make(map[string][]Target),
 	}
-	for _, t := range targets {
+	for _, t := range newest(targets) {
 		next.targets[t.Name] = t
 	}
 	if r != nil && keep > 0 {
@@ -111,3 +111,14 @@
 		}
 	}
 }
+
+// newest returns the targets without those whose address a newer one has: a target that started again under another name.
+func newest(targets []Target) []Target {
+	holder := make(map[string]Target, len(targets))
+	for _, t := range targets {
+		if other, taken := holder[t.Address]; !taken || t.Revision > other.Revision {
+			holder[t.Address] = t
+		}
+	}
+	return slices.Collect(maps.Values(holder))
+}
--- a/entry/chain/forward.go
+++ b/entry/chain/forward.go
@@ -44,7 +44,9 @@
 // Finished says that all events of a response went to the outlet.
 type Finished struct {
 	Events  int
-	Resumed int // Resumed counts the targets that the stream went on at.
+	Resumed int           // Resumed counts the targets that the stream went on at.
+	First   time.Duration // First is the time until the first event.
+	Pause   time.Duration // Pause is the longest pause between two events.
 }
 
 // Severed says that a response was begun and cannot be completed; its connection has to be cut.
--- a/entry/filter/trace.go
+++ b/entry/filter/trace.go
@@ -68,12 +68,7 @@
 		fields["status"] = a.Head.Status
 		t.ordinary(fields, "answered", located, took)
 	case chain.Finished:
-		fields["events"], fields["resumed"] = a.Events, a.Resumed
-		if a.Resumed > 0 {
-			t.log.WithFields(fields).Info("stream finished after it was resumed")
-			return
-		}
-		t.ordinary(fields, "stream finished", located, took)
+		t.finished(fields, located, a, took)
 	case chain.Severed:
 		t.log.WithFields(fields).WithField("cause", a.Reason).Warn("stream severed")
 	case chain.Refused:
@@ -83,6 +78,22 @@
 	}
 }
 
+// finished logs a whole stream; one that was resumed or late always has its line.
+func (t *Trace) finished(fields log.Fields, c chain.Call, a chain.Finished, took time.Duration) {
+	fields["events"], fields["resumed"] = a.Events, a.Resumed
+	fields["first-ms"], fields["pause-ms"] = a.First.Milliseconds(), a.Pause.Milliseconds()
+	stream, _ := c.Route.Repeat.(site.Stream)
+	late := c.Route.Aim > 0 && a.First > c.Route.Aim || stream.Pause > 0 && a.Pause > stream.Pause
+	switch {
+	case late:
+		t.log.WithFields(fields).Info("stream finished late")
+	case a.Resumed > 0:
+		t.log.WithFields(fields).Info("stream finished after it was resumed")
+	default:
+		t.ordinary(fields, "stream finished", c, took)
+	}
+}
+
 // ordinary logs a call that went as it should, unless enough such lines were written in this second or it was late.
 func (t *Trace) ordinary(fields log.Fields, message string, c chain.Call, took time.Duration) {
 	if _, streamed := c.Route.Repeat.(site.Stream); !streamed && c.Route.Aim > 0 && took > c.Route.Aim {
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	dialTimeout   = 250 * time.Millisecond // dialTimeout bounds the wait for a connection; failure domains are milliseconds apart, so a target that needs longer is dark.
+	dialTimeout   = 150 * time.Millisecond // dialTimeout bounds the wait for a connection; failure domains are milliseconds apart, so a target that needs longer is dark.
 	idleFallback  = 2 * time.Second        // idleFallback is how long a connection is kept when the target names no timeout.
 	idleMargin    = 500 * time.Millisecond // idleMargin is taken off the timeout that a target names, which is in whole seconds.
 	maxIdle       = 8                      // maxIdle bounds the idle connections to one target.
@@ -134,6 +134,16 @@
 	}
 }
 
+// Probe tells whether a target still takes connections; the one it opens is kept for the next request.
+func (l *Link) Probe(ctx context.Context, address string) error {
+	c, err := l.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	l.put(address, c, nil)
+	return nil
+}
+
 // Send sends a request and returns the head of its response; the context ends both at any time.
 //
 // A NotSentError says that the target never had the request. After any other
--- a/entry/pass/attempt.go
+++ b/entry/pass/attempt.go
@@ -4,10 +4,8 @@
 	"context"
 	"fmt"
 	"io"
-	"sync/atomic"
 	"time"
 
-	"bramleywharf.example/core/flow"
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/link"
@@ -16,13 +14,14 @@
 )
 
 const (
-	firstPatience = 3 * time.Second        // firstPatience is the wait for the first event, of which a prompt of 14,400 tokens takes 1.8 s by itself.
-	copyPatience  = 600 * time.Millisecond // copyPatience is the wait for the first event of a stream that goes on from a copy.
-	silenceMin    = 300 * time.Millisecond // silenceMin is the shortest silence that counts; beside a prompt that is read in chunks, an event takes about 200 ms.
-	silenceMax    = 450 * time.Millisecond // silenceMax leaves time to go on elsewhere within a pause of 700 ms.
-	silenceShared = 150 * time.Millisecond // silenceShared is the silence that counts when others have just lost the same target.
-	lookPeriod    = 50 * time.Millisecond  // lookPeriod is the time between two looks at a stream's silence.
-	resumeMargin  = 100 * time.Millisecond // resumeMargin is how long after a loss elsewhere an unheard target is given up.
+	firstPatience = 2 * time.Second         // firstPatience is the wait for the first event of an empty prompt.
+	tokenPatience = time.Millisecond        // tokenPatience is added for each token of the prompt; an engine reads 8 in that time when nothing runs beside it.
+	copyPatience  = 600 * time.Millisecond  // copyPatience is the wait for the first event of a stream that goes on from a copy.
+	silenceCut    = 500 * time.Millisecond  // silenceCut is the silence after which a stream goes on elsewhere even if its target takes connections; that leaves 200 ms of the users' longest pause.
+	silenceProbe  = 250 * time.Millisecond  // silenceProbe is the silence after which the target is probed; beside a prompt that is read in chunks, an event takes about 200 ms.
+	silenceShared = 120 * time.Millisecond  // silenceShared is that silence when another target of the failure domain was lost since.
+	firstProbe    = 1200 * time.Millisecond // firstProbe is the time between two probes before the first event; most prompts are read by then.
+	lookPeriod    = 40 * time.Millisecond   // lookPeriod is the time between two looks at a stream's silence.
 )
 
 // ending is the sealed set of what came of one attempt: complete, refusedBy, unrun, broken and unwanted.
@@ -59,14 +58,11 @@
 func (broken) isEnding()    {}
 func (unwanted) isEnding()  {}
 
-// errSilent ends the connection to a target that fell silent.
-var errSilent = errors.New("target fell silent")
-
 // attempt runs the stream at one target, from a copy if its address is given.
 func (g *flight) attempt(ctx context.Context, pick *picker.Pick, source string) ending {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	guard := newGuard(g, pick, source != "", cancel)
+	guard := newGuard(ctx, g, pick, source != "", cancel)
 	defer guard.stop()
 	s := Send{Call: g.call, Target: pick.Target, Left: left(g.call, g.request), After: g.last, Source: source}
 	g.backup = site.Target{}
@@ -87,7 +83,7 @@
 		return broken{cause: g.cause(ctx, err)}
 	}
 	defer reply.Close()
-	return g.read(ctx, pick, reply, guard)
+	return g.read(ctx, pick, reply, guard, source)
 }
 
 // backupFor returns the target that keeps a copy of the stream while another runs it.
@@ -109,7 +105,7 @@
 }
 
 // read takes the response of a target.
-func (g *flight) read(ctx context.Context, pick *picker.Pick, reply *link.Reply, guard *guard) ending {
+func (g *flight) read(ctx context.Context, pick *picker.Pick, reply *link.Reply, guard *guard, source string) ending {
 	switch v := g.pass.dialect.Judge(reply.Status(), reply.Header()).(type) {
 	case NotRun:
 		_, _ = reply.Whole() // The body says nothing; it is read so that the connection can be kept.
@@ -125,11 +121,11 @@
 		}
 		return refusedBy{passed: chain.Passed{Head: head, Body: body}}
 	}
-	return g.copyEvents(ctx, pick, reply, head, guard)
+	return g.copyEvents(ctx, pick, reply, head, guard, source)
 }
 
 // copyEvents passes whole events on until the stream ends.
-func (g *flight) copyEvents(ctx context.Context, pick *picker.Pick, reply *link.Reply, head chain.Head, guard *guard) ending {
+func (g *flight) copyEvents(ctx context.Context, pick *picker.Pick, reply *link.Reply, head chain.Head, guard *guard, source string) ending {
 	stream := newEvents(reply)
 	first := true
 	for {
@@ -147,6 +143,8 @@
 			first = false
 			pick.Read()
 			pick.Heard()
+			g.copied = g.backup
+			g.noteResumed(source)
 		}
 		if err := g.deliver(head, e); err != nil {
 			return unwanted{}
@@ -154,6 +152,20 @@
 	}
 }
 
+// noteResumed counts a stream that went on at another target.
+func (g *flight) noteResumed(source string) {
+	if !g.begun {
+		return
+	}
+	g.resumed++
+	g.pass.counts.resume.Update(time.Since(g.sent).Seconds())
+	if source == "" {
+		g.pass.counts.rereads.Inc()
+		return
+	}
+	g.pass.counts.copies.Inc()
+}
+
 // deliver sends one event to the caller.
 func (g *flight) deliver(head chain.Head, e event) error {
 	if !g.begun {
@@ -167,10 +179,12 @@
 	}
 	now := time.Now()
 	if g.sent.IsZero() {
-		g.pass.counts.first.Update(now.Sub(g.request.Received).Seconds())
+		g.first = now.Sub(g.request.Received)
+		g.pass.counts.first.Update(g.first.Seconds())
 	} else {
-		g.gaps = g.gaps.WithGap(now.Sub(g.sent))
-		g.pass.counts.pause.Update(now.Sub(g.sent).Seconds())
+		pause := now.Sub(g.sent)
+		g.pause = max(g.pause, pause)
+		g.pass.counts.pause.Update(pause.Seconds())
 	}
 	g.sent = now
 	g.events++
@@ -179,78 +193,3 @@
 	}
 	return nil
 }
-
-// guard ends an attempt whose target falls silent.
-type guard struct {
-	flight *flight
-	pick   *picker.Pick
-	copied bool
-	began  time.Time
-	gaps   flow.Gaps    // gaps is what was known of the stream's pace when the attempt began.
-	heard  atomic.Int64 // heard is when the last event came, in nanoseconds since began; 0 before the first.
-	cancel context.CancelCauseFunc
-	end    chan struct{}
-	done   chan struct{}
-}
-
-// newGuard starts a closure that looks at an attempt until it is stopped.
-func newGuard(g *flight, pick *picker.Pick, copied bool, cancel context.CancelCauseFunc) *guard {
-	d := &guard{
-		flight: g,
-		pick:   pick,
-		copied: copied,
-		began:  time.Now(),
-		gaps:   g.gaps,
-		cancel: cancel,
-		end:    make(chan struct{}),
-		done:   make(chan struct{}),
-	}
-	go func() {
-		defer close(d.done)
-		look := time.NewTicker(lookPeriod)
-		defer look.Stop()
-		for {
-			select {
-			case <-d.end:
-				return
-			case <-look.C:
-				if d.silent() {
-					g.pass.counts.silences.Inc()
-					cancel(errSilent)
-					return
-				}
-			}
-		}
-	}()
-	return d
-}
-
-// hear notes an event.
-func (d *guard) hear() {
-	d.heard.Store(int64(time.Since(d.began)))
-}
-
-// silent tells whether the target has been silent for too long.
-func (d *guard) silent() bool {
-	heard := time.Duration(d.heard.Load())
-	silence := time.Since(d.began) - heard
-	lostElsewhere := d.pick.LostSince(d.began.Add(heard))
-	switch {
-	case heard > 0 && lostElsewhere:
-		return silence > silenceShared
-	case heard > 0:
-		return silence > min(max(d.gaps.Patience(), silenceMin), silenceMax)
-	case lostElsewhere:
-		return silence > resumeMargin
-	case d.copied:
-		return silence > copyPatience
-	default:
-		return silence > firstPatience
-	}
-}
-
-// stop ends the looks.
-func (d *guard) stop() {
-	close(d.end)
-	<-d.done
-}
--- a/entry/pass/flight.go
+++ b/entry/pass/flight.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"bramleywharf.example/core/deny"
-	"bramleywharf.example/core/flow"
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/core/wait"
 	"bramleywharf.example/entry/chain"
@@ -38,9 +37,11 @@
 	begun   bool   // begun tells that the caller has the head of the response.
 	ran     bool   // ran tells that a target may have run the request.
 	failure *chain.Passed
-	backup  site.Target // backup may hold a copy of the run, or has no name.
-	gaps    flow.Gaps
-	sent    time.Time // sent is when the last event was delivered.
+	copied  site.Target // copied holds a copy of the run that delivered the last event, or has no name.
+	backup  site.Target // backup is to keep a copy of the run that is under way, or has no name.
+	sent    time.Time   // sent is when the last event was delivered.
+	first   time.Duration
+	pause   time.Duration
 }
 
 // newFlight returns a stream that has not been sent.
@@ -79,11 +80,10 @@
 
 // choose returns the next target, and the address of the copy to go on from if that target has one.
 func (g *flight) choose(ctx context.Context) (*picker.Pick, string, bool) {
-	if g.backup.Name != "" && g.events > 0 {
-		backup := g.backup
-		g.backup = site.Target{}
-		if pick, ok := g.pass.picker.Named(backup.Name); ok && !pick.Suspect() {
-			return pick, backup.Address, true
+	if holder := g.copied; holder.Name != "" {
+		g.copied = site.Target{}
+		if pick, ok := g.pass.picker.Named(holder.Name); ok && !pick.Suspect() {
+			return pick, holder.Address, true
 		} else if ok {
 			pick.Release()
 		}
@@ -118,7 +118,7 @@
 func (g *flight) judge(ctx context.Context, pick *picker.Pick, result ending, began time.Time) (chain.Answer, bool) {
 	switch r := result.(type) {
 	case complete:
-		return chain.Finished{Events: g.events, Resumed: g.resumed}, true
+		return chain.Finished{Events: g.events, Resumed: g.resumed, First: g.first, Pause: g.pause}, true
 	case refusedBy:
 		if !g.begun && !(r.passed.Head.Status >= 500 && g.policy.Resumable) {
 			return r.passed, true
@@ -217,7 +217,7 @@
 		"events":  g.events,
 		"last":    g.last,
 		"after":   time.Since(began).Milliseconds(),
-		"backup":  g.backup.Name,
+		"copied":  g.copied.Name,
 	}
 	switch r := result.(type) {
 	case unrun:
--- /dev/null
+++ b/entry/pass/guard.go
@@ -0,0 +1,114 @@
+package pass
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"bramleywharf.example/entry/picker"
+	"github.com/pkg/errors"
+)
+
+// Errors that end the connection to a target.
+var (
+	errSilent = errors.New("target fell silent")
+	errDark   = errors.New("target is silent and takes no connection")
+)
+
+// guard ends an attempt whose target falls silent.
+type guard struct {
+	pick   *picker.Pick
+	copied bool
+	prompt int
+	began  time.Time
+	heard  atomic.Int64  // heard is when the last event came, in nanoseconds since began; 0 before the first.
+	probed time.Duration // probed is when the target was probed last, since began.
+	pass   *Pass
+	end    chan struct{}
+	done   chan struct{}
+}
+
+// newGuard starts a closure that looks at an attempt until it is stopped.
+func newGuard(ctx context.Context, g *flight, pick *picker.Pick, copied bool, cancel context.CancelCauseFunc) *guard {
+	d := &guard{
+		pick:   pick,
+		copied: copied,
+		prompt: g.request.Prompt,
+		began:  time.Now(),
+		pass:   g.pass,
+		end:    make(chan struct{}),
+		done:   make(chan struct{}),
+	}
+	go func() {
+		defer close(d.done)
+		look := time.NewTicker(lookPeriod)
+		defer look.Stop()
+		for {
+			select {
+			case <-d.end:
+				return
+			case <-look.C:
+			}
+			if err := d.look(ctx); err != nil {
+				g.pass.counts.silences.Inc()
+				cancel(err)
+				return
+			}
+		}
+	}()
+	return d
+}
+
+// hear notes an event.
+func (d *guard) hear() {
+	d.heard.Store(int64(time.Since(d.began)))
+}
+
+// look returns an error when the target has been silent for too long, or takes no connections when it is probed.
+func (d *guard) look(ctx context.Context) error {
+	heard := time.Duration(d.heard.Load())
+	now := time.Since(d.began)
+	silence := now - heard
+	if silence > d.patience(heard) {
+		return errSilent
+	}
+	if silence <= d.unsure(heard) || d.probed > heard && now-d.probed < firstProbe {
+		return nil
+	}
+	d.probed = now
+	err := d.pass.link.Probe(ctx, d.pick.Target.Address)
+	if err != nil && ctx.Err() == nil && time.Duration(d.heard.Load()) == heard {
+		return errDark
+	}
+	return nil
+}
+
+// patience returns the silence that ends an attempt.
+func (d *guard) patience(heard time.Duration) time.Duration {
+	switch {
+	case heard > 0:
+		return silenceCut
+	case d.copied:
+		return copyPatience
+	default:
+		return firstPatience + time.Duration(d.prompt)*tokenPatience
+	}
+}
+
+// stop ends the looks.
+func (d *guard) stop() {
+	close(d.end)
+	<-d.done
+}
+
+// unsure returns the silence after which the target is probed.
+func (d *guard) unsure(heard time.Duration) time.Duration {
+	switch {
+	case d.pick.DomainLostSince(d.began.Add(max(heard, d.probed))):
+		return silenceShared
+	case heard > 0 || d.copied:
+		return silenceProbe
+	default:
+		return firstProbe
+	}
+}
--- a/entry/pass/pass.go
+++ b/entry/pass/pass.go
@@ -65,7 +65,7 @@
 
 // Settings configures a handler.
 type Settings struct {
-	Retries retry.Bound // Retries is this instance's share of the fleet's bound.
+	Retries func() retry.Bound // Retries returns this instance's share of the fleet's bound.
 }
 
 // Pass forwards calls to targets.
@@ -140,7 +140,7 @@
 
 // Left returns the repeats that the bound still allows for a service.
 func (p *Pass) Left(service string) int {
-	return p.window(service).Load().Left(time.Since(p.began), p.settings.Retries)
+	return p.window(service).Load().Left(time.Since(p.began), p.settings.Retries())
 }
 
 // request counts a request of a service.
@@ -160,7 +160,7 @@
 	w := p.window(service)
 	for {
 		old := w.Load()
-		next, ok := old.WithRepeat(time.Since(p.began), p.settings.Retries)
+		next, ok := old.WithRepeat(time.Since(p.began), p.settings.Retries())
 		if !ok {
 			p.counts.denied.Inc()
 			return false
--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -112,6 +112,12 @@
 	return &Pick{Target: target, state: s, picker: p, prompt: prompt}
 }
 
+// DomainLostSince tells whether this instance lost any target of the failure domain after a time.
+func (k *Pick) DomainLostSince(at time.Time) bool {
+	lost, ok := k.picker.dark.Load(k.Target.Domain)
+	return ok && lost.(time.Time).After(at)
+}
+
 // Failed notes that the target failed the request by itself.
 func (k *Pick) Failed() {
 	k.state.update(func(b health.Belief) health.Belief { return b.WithFailure(time.Now()) })
@@ -119,7 +125,6 @@
 
 // Heard notes a sign of life.
 func (k *Pick) Heard() {
-	k.state.heard.Store(int64(time.Since(k.picker.began)))
 	if k.state.belief.Load().Suspect(time.Now()) {
 		k.state.update(health.Belief.WithLife)
 	}
@@ -133,6 +138,7 @@
 // Lost notes that the target could not be reached or fell silent.
 func (k *Pick) Lost(cause string) {
 	k.picker.losses.Inc()
+	k.picker.dark.Store(k.Target.Domain, time.Now())
 	suspect := k.state.belief.Load().Suspect(time.Now())
 	k.state.update(func(b health.Belief) health.Belief { return b.WithLoss(time.Now()) })
 	if !suspect {
@@ -140,11 +146,6 @@
 	}
 }
 
-// LostSince tells whether any request lost the target after a time.
-func (k *Pick) LostSince(at time.Time) bool {
-	return k.state.belief.Load().LostSince(at)
-}
-
 // Open tells whether the target still takes new work under the same start.
 func (k *Pick) Open() bool {
 	t := k.picker.table.Load()
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,7 +35,6 @@
 	flying  atomic.Int64 // flying counts the requests of this instance that are running there.
 	reading atomic.Int64 // reading counts the prompt tokens that it has not read yet.
 	belief  atomic.Pointer[health.Belief]
-	heard   atomic.Int64 // heard is when a stream last heard of it, in nanoseconds since the picker began.
 }
 
 // table is the roster with the state of each target; its maps are never changed after construction.
@@ -51,6 +51,7 @@
 	table  *cell.Cell[table]
 	began  time.Time
 	losses *metrics.Counter
+	dark   sync.Map // dark holds when a target of each failure domain was lost last, as a time.Time.
 	cancel context.CancelFunc
 	done   chan struct{}
 }
