--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -57,7 +57,7 @@
 	Path    string // Path is the raw request target.
 	Header  map[string][]string
 	Body    []byte
-	Echo    string // Echo is the value that the target repeats in its response.
+	Echo    string // Echo is the value that the target repeats in its response; empty for calls whose response repeats none.
 	Fresh   bool   // Fresh asks for a connection that was not used before.
 }
 
@@ -197,7 +197,7 @@
 		if response.StatusCode == http.StatusContinue {
 			continue
 		}
-		if echo := response.Header.Get(l.settings.EchoHeader); echo != "" && echo != r.Echo || echo == "" && c.used {
+		if echo := response.Header.Get(l.settings.EchoHeader); echo != r.Echo && (echo != "" || c.used) {
 			l.strays.Inc()
 			if _, err := io.Copy(io.Discard, response.Body); err != nil {
 				return fmt.Errorf("skip stray response of target %s: %w", r.Address, orContext(ctx, err))
--- a/entry/pass/attempt.go
+++ b/entry/pass/attempt.go
@@ -16,7 +16,7 @@
 const (
 	firstPatience = 2 * time.Second         // firstPatience is the wait for the first event of an empty prompt.
 	tokenPatience = time.Millisecond        // tokenPatience is added for each token of the prompt; an engine reads 8 in that time when nothing runs beside it.
-	copyPatience  = 600 * time.Millisecond  // copyPatience is the wait for the first event of a stream that goes on from a copy.
+	copyPatience  = 1500 * time.Millisecond // copyPatience is the wait for the first event of a stream that goes on from a copy; to read the prompt again takes a second and more.
 	silenceCut    = 500 * time.Millisecond  // silenceCut is the silence after which a stream goes on elsewhere even if its target takes connections; that leaves 200 ms of the users' longest pause.
 	silenceProbe  = 250 * time.Millisecond  // silenceProbe is the silence after which the target is probed; beside a prompt that is read in chunks, an event takes about 200 ms.
 	silenceShared = 120 * time.Millisecond  // silenceShared is that silence when another target of the failure domain was lost since.
@@ -59,17 +59,16 @@
 func (unwanted) isEnding()  {}
 
 // attempt runs the stream at one target, from a copy if its address is given.
-func (g *flight) attempt(ctx context.Context, pick *picker.Pick, source string) ending {
+func (g *flight) attempt(ctx context.Context, pick *picker.Pick, source Source) ending {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	guard := newGuard(ctx, g, pick, source != "", cancel)
+	guard := newGuard(ctx, g, pick, source != Source{}, cancel)
 	defer guard.stop()
 	s := Send{Call: g.call, Target: pick.Target, Left: left(g.call, g.request), After: g.last, Source: source}
-	g.backup = site.Target{}
+	var backup site.Target
 	if g.copies {
-		if backup, ok := g.backupFor(pick.Target); ok {
-			g.backup, s.Backup = backup, backup.Address
-		}
+		backup, _ = g.backupFor(pick.Target, "")
+		s.Backup = backup.Address
 	}
 	g.pass.counts.sends.Inc()
 	reply, err := g.pass.link.Send(ctx, g.pass.outgoing(s, g.request, false))
@@ -79,6 +78,9 @@
 		return unrun{lost: true, cause: err.Error()}
 	}
 	g.sends++
+	if backup.Name != "" {
+		g.copied.Store(&copied{holder: backup, source: Source{Address: backup.Address, Handle: g.call.ID}})
+	}
 	if err != nil {
 		return broken{cause: g.cause(ctx, err)}
 	}
@@ -86,10 +88,10 @@
 	return g.read(ctx, pick, reply, guard, source)
 }
 
-// backupFor returns the target that keeps a copy of the stream while another runs it.
-func (g *flight) backupFor(runner site.Target) (site.Target, bool) {
+// backupFor returns the target that keeps a copy of the stream while another runs it, other than one that has just refused.
+func (g *flight) backupFor(runner site.Target, refused string) (site.Target, bool) {
 	want := g.want()
-	want.Avoid = map[string]bool{runner.Name: true}
+	want.Avoid = map[string]bool{runner.Name: true, refused: true}
 	for name := range g.avoid {
 		want.Avoid[name] = true
 	}
@@ -105,10 +107,11 @@
 }
 
 // read takes the response of a target.
-func (g *flight) read(ctx context.Context, pick *picker.Pick, reply *link.Reply, guard *guard, source string) ending {
+func (g *flight) read(ctx context.Context, pick *picker.Pick, reply *link.Reply, guard *guard, source Source) ending {
 	switch v := g.pass.dialect.Judge(reply.Status(), reply.Header()).(type) {
 	case NotRun:
 		_, _ = reply.Whole() // The body says nothing; it is read so that the connection can be kept.
+		g.copied.Store(nil)
 		return unrun{sent: true, lost: v.Misdirected, cause: fmt.Sprintf("status %d", reply.Status())}
 	case Unsigned:
 		return broken{cause: fmt.Sprintf("response with status %d proves nothing", reply.Status())}
@@ -125,7 +128,7 @@
 }
 
 // copyEvents passes whole events on until the stream ends.
-func (g *flight) copyEvents(ctx context.Context, pick *picker.Pick, reply *link.Reply, head chain.Head, guard *guard, source string) ending {
+func (g *flight) copyEvents(ctx context.Context, pick *picker.Pick, reply *link.Reply, head chain.Head, guard *guard, source Source) ending {
 	stream := newEvents(reply)
 	first := true
 	for {
@@ -143,7 +146,6 @@
 			first = false
 			pick.Read()
 			pick.Heard()
-			g.copied = g.backup
 			g.noteResumed(source)
 		}
 		if err := g.deliver(head, e); err != nil {
@@ -153,13 +155,13 @@
 }
 
 // noteResumed counts a stream that went on at another target.
-func (g *flight) noteResumed(source string) {
+func (g *flight) noteResumed(source Source) {
 	if !g.begun {
 		return
 	}
 	g.resumed++
 	g.pass.counts.resume.Update(time.Since(g.sent).Seconds())
-	if source == "" {
+	if source == (Source{}) {
 		g.pass.counts.rereads.Inc()
 		return
 	}
--- /dev/null
+++ b/entry/pass/copy.go
@@ -0,0 +1,89 @@
+package pass
+
+import (
+	"context"
+	"time"
+
+	"bramleywharf.example/core/site"
+	"github.com/apex/log"
+)
+
+const (
+	copyLife    = 0.9                    // copyLife is the part of the time that engines keep a copy after which it is ordered again.
+	copyTimeout = time.Second            // copyTimeout bounds the wait for a copy of some 150 MB on links of 370 Gbit/s, queued behind others.
+	copyAgain   = 300 * time.Millisecond // copyAgain is the least time between two orders.
+)
+
+// keepCopy orders another copy of a stream under way when the one that there was is lost or grows old.
+func (d *guard) keepCopy(ctx context.Context) {
+	if !d.flight.copies || d.heard.Load() == 0 || time.Since(d.ordered) < copyAgain || d.copying.Load() {
+		return
+	}
+	runner := d.pick.Target
+	c := d.flight.copied.Load()
+	sound := c != nil && d.pass.picker.IsSound(c.holder)
+	if sound && (c.ordered.IsZero() || time.Since(c.ordered) < d.flight.copyLife) {
+		return
+	}
+	var holder site.Target
+	if sound {
+		holder = c.holder
+	} else if holder, sound = d.flight.backupFor(runner, d.refused); !sound {
+		return
+	}
+	d.ordered = time.Now()
+	d.copying.Store(true)
+	go func() {
+		defer d.copying.Store(false)
+		d.order(ctx, c, runner, holder)
+	}()
+}
+
+// order has the runner of a stream copy it to a holder.
+func (d *guard) order(ctx context.Context, old *copied, runner, holder site.Target) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	began := time.Now()
+	d.pass.counts.orders.Inc()
+	fields := log.Fields{"request": d.flight.call.ID, "target": runner.Name, "holder": holder.Name}
+	reply, err := d.pass.link.Send(ctx, d.pass.dialect.Copy(d.flight.call, runner, holder))
+	if err != nil {
+		d.pass.log.WithFields(fields).WithError(err).Info("copy was not made")
+		return
+	}
+	status := reply.Status()
+	body, err := reply.Whole()
+	if err != nil {
+		d.pass.log.WithFields(fields).WithError(err).Info("copy was not made")
+		return
+	}
+	handle, ok := d.pass.dialect.Copied(status, body)
+	if !ok {
+		d.refused = holder.Name
+		d.pass.log.WithFields(fields).WithField("status", status).Info("copy was not made")
+		return
+	}
+	next := &copied{holder: holder, source: Source{Address: runner.Address, Handle: handle}, ordered: began}
+	if d.flight.copied.CompareAndSwap(old, next) {
+		d.pass.log.WithFields(fields).WithField("took-ms", time.Since(began).Milliseconds()).Debug("copy was made")
+	}
+}
+
+// dropCopy frees a copy that was ordered and is not needed any more.
+func (g *flight) dropCopy(ctx context.Context) {
+	c := g.copied.Swap(nil)
+	if c == nil || c.ordered.IsZero() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
+	go func() {
+		defer cancel()
+		reply, err := g.pass.link.Send(ctx, g.pass.dialect.Drop(c.source))
+		if err == nil {
+			_, err = reply.Whole()
+		}
+		if err != nil {
+			g.pass.log.WithError(err).WithFields(log.Fields{"request": g.call.ID, "holder": c.holder.Name}).Info("copy was not freed; it lapses by itself")
+		}
+	}()
+}
--- a/entry/pass/flight.go
+++ b/entry/pass/flight.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"bramleywharf.example/core/deny"
@@ -22,26 +23,33 @@
 
 // flight is a stream on its way; one goroutine owns it.
 type flight struct {
-	pass    *Pass
-	call    chain.Call
-	request chain.Forward
-	policy  site.Stream
-	service string
-	copies  bool // copies tells that targets keep copies for each other.
-	avoid   map[string]bool
-	sends   int
-	unsent  int
-	resumed int
-	events  int
-	last    string // last is the id of the last event that the caller has.
-	begun   bool   // begun tells that the caller has the head of the response.
-	ran     bool   // ran tells that a target may have run the request.
-	failure *chain.Passed
-	copied  site.Target // copied holds a copy of the run that delivered the last event, or has no name.
-	backup  site.Target // backup is to keep a copy of the run that is under way, or has no name.
-	sent    time.Time   // sent is when the last event was delivered.
-	first   time.Duration
-	pause   time.Duration
+	pass     *Pass
+	call     chain.Call
+	request  chain.Forward
+	policy   site.Stream
+	service  string
+	copies   bool          // copies tells that targets keep copies for each other.
+	copyLife time.Duration // copyLife is the age at which a copy that was ordered is ordered again.
+	avoid    map[string]bool
+	sends    int
+	unsent   int
+	resumed  int
+	events   int
+	last     string // last is the id of the last event that the caller has.
+	begun    bool   // begun tells that the caller has the head of the response.
+	ran      bool   // ran tells that a target may have run the request.
+	failure  *chain.Passed
+	copied   atomic.Pointer[copied] // copied is the copy of the run that began last, or nil.
+	sent     time.Time              // sent is when the last event was delivered.
+	first    time.Duration
+	pause    time.Duration
+}
+
+// copied is a copy of a run at another target.
+type copied struct {
+	holder  site.Target
+	source  Source
+	ordered time.Time // ordered is when the copy was ordered; zero for one that grows with its run.
 }
 
 // newFlight returns a stream that has not been sent.
@@ -57,6 +65,7 @@
 	}
 	if service, ok := c.Site.Service(g.service); ok && service.Engine != nil {
 		g.copies = service.Engine.Copies
+		g.copyLife = time.Duration(copyLife * float64(service.Engine.Keep))
 	}
 	return g
 }
@@ -64,6 +73,7 @@
 // run sends the request and goes on elsewhere until the stream is complete or may not go on.
 func (g *flight) run(ctx context.Context) chain.Answer {
 	g.pass.request(g.service)
+	defer g.dropCopy(ctx)
 	for {
 		pick, source, ok := g.choose(ctx)
 		if !ok {
@@ -78,14 +88,11 @@
 	}
 }
 
-// choose returns the next target, and the address of the copy to go on from if that target has one.
-func (g *flight) choose(ctx context.Context) (*picker.Pick, string, bool) {
-	if holder := g.copied; holder.Name != "" {
-		g.copied = site.Target{}
-		if pick, ok := g.pass.picker.Named(holder.Name); ok && !pick.Suspect() {
-			return pick, holder.Address, true
-		} else if ok {
-			pick.Release()
+// choose returns the next target, and the copy to go on from if that target has one.
+func (g *flight) choose(ctx context.Context) (*picker.Pick, Source, bool) {
+	if c := g.copied.Swap(nil); c != nil {
+		if pick, ok := g.pass.picker.Sound(c.holder); ok {
+			return pick, c.source, true
 		}
 	}
 	patience := targetWait
@@ -96,11 +103,11 @@
 	for {
 		pick, ok := g.pass.picker.Stream(g.want())
 		if ok {
-			return pick, "", true
+			return pick, Source{}, true
 		}
 		clear(g.avoid)
 		if time.Now().After(until) || !wait.For(ctx, targetPause) {
-			return nil, "", false
+			return nil, Source{}, false
 		}
 	}
 }
@@ -143,6 +150,14 @@
 	return g.again(result)
 }
 
+// copyAt names the target that holds the copy, or is empty.
+func (g *flight) copyAt() string {
+	if c := g.copied.Load(); c != nil {
+		return c.holder.Name
+	}
+	return ""
+}
+
 // drop tells the picker of a failed attempt.
 func (g *flight) drop(pick *picker.Pick, lost bool, cause string) {
 	if lost {
@@ -217,7 +232,7 @@
 		"events":  g.events,
 		"last":    g.last,
 		"after":   time.Since(began).Milliseconds(),
-		"copied":  g.copied.Name,
+		"copy-at": g.copyAt(),
 	}
 	switch r := result.(type) {
 	case unrun:
--- a/entry/pass/guard.go
+++ b/entry/pass/guard.go
@@ -17,20 +17,25 @@
 
 // guard ends an attempt whose target falls silent.
 type guard struct {
-	pick   *picker.Pick
-	copied bool
-	prompt int
-	began  time.Time
-	heard  atomic.Int64  // heard is when the last event came, in nanoseconds since began; 0 before the first.
-	probed time.Duration // probed is when the target was probed last, since began.
-	pass   *Pass
-	end    chan struct{}
-	done   chan struct{}
+	flight  *flight
+	pick    *picker.Pick
+	copied  bool
+	prompt  int
+	began   time.Time
+	heard   atomic.Int64  // heard is when the last event came, in nanoseconds since began; 0 before the first.
+	probed  time.Duration // probed is when the target was probed last, since began.
+	pass    *Pass
+	ordered time.Time   // ordered is when a copy was ordered last.
+	refused string      // refused names the target that refused to hold a copy last; the closure that makes a copy writes it while copying is set.
+	copying atomic.Bool // copying tells that a copy is being made.
+	end     chan struct{}
+	done    chan struct{}
 }
 
 // newGuard starts a closure that looks at an attempt until it is stopped.
 func newGuard(ctx context.Context, g *flight, pick *picker.Pick, copied bool, cancel context.CancelCauseFunc) *guard {
 	d := &guard{
+		flight: g,
 		pick:   pick,
 		copied: copied,
 		prompt: g.request.Prompt,
@@ -54,6 +59,7 @@
 				cancel(err)
 				return
 			}
+			d.keepCopy(ctx)
 		}
 	}()
 	return d
--- a/entry/pass/pass.go
+++ b/entry/pass/pass.go
@@ -29,10 +29,16 @@
 	Target site.Target
 	Left   time.Duration // Left is the time that the target may take.
 	After  string        // After is the id of the event to go on after, or empty.
-	Source string        // Source is the address of the target that holds a copy of the run, or empty.
+	Source Source        // Source is the copy to go on from, or the zero value.
 	Backup string        // Backup is the address of the target that should keep a copy of the run, or empty.
 }
 
+// Source names a copy of a run.
+type Source struct {
+	Address string // Address is that of the target which keeps the copy, or which made it on order.
+	Handle  string // Handle names the copy there.
+}
+
 // Verdict is the sealed set of what a response says of itself: Signed, NotRun and Unsigned.
 type Verdict interface {
 	isVerdict()
@@ -57,6 +63,12 @@
 type Dialect interface {
 	// Header returns the headers of a request to a target.
 	Header(s Send) map[string][]string
+	// Copy returns the call that orders the target of a run to copy it to another target.
+	Copy(c chain.Call, runner, holder site.Target) link.Request
+	// Copied returns the handle of a copy from the response to such a call.
+	Copied(status int, body []byte) (handle string, ok bool)
+	// Drop returns the call that frees such a copy.
+	Drop(s Source) link.Request
 	// Judge returns what a response says of itself.
 	Judge(status int, header map[string][]string) Verdict
 	// Response returns the headers that belong to the caller.
@@ -87,6 +99,7 @@
 	repeats  *metrics.Counter
 	denied   *metrics.Counter
 	copies   *metrics.Counter
+	orders   *metrics.Counter
 	rereads  *metrics.Counter
 	severed  *metrics.Counter
 	first    *metrics.Histogram
@@ -110,6 +123,7 @@
 			repeats:  set.GetOrCreateCounter("bramleywharf_sends_repeated_total"),
 			denied:   set.GetOrCreateCounter("bramleywharf_retries_denied_total"),
 			copies:   set.GetOrCreateCounter(`bramleywharf_streams_resumed_total{from="copy"}`),
+			orders:   set.GetOrCreateCounter("bramleywharf_copies_ordered_total"),
 			rereads:  set.GetOrCreateCounter(`bramleywharf_streams_resumed_total{from="prompt"}`),
 			severed:  set.GetOrCreateCounter("bramleywharf_streams_severed_total"),
 			first:    set.GetOrCreateHistogram("bramleywharf_first_event_seconds"),
--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -94,14 +94,25 @@
 	return best, found
 }
 
-// Named holds a target that is known by name and takes new work.
-func (p *Picker) Named(name string) (*Pick, bool) {
+// IsSound tells whether a target is open under the same start and not suspect.
+func (p *Picker) IsSound(target site.Target) bool {
 	t := p.table.Load()
-	target, ok := t.roster.Get(name)
-	if !ok || target.Leaving {
+	now, ok := t.roster.Get(target.Name)
+	return ok && !now.Leaving && now.Started == target.Started && now.Address == target.Address &&
+		!t.states[target.Name].belief.Load().Suspect(time.Now())
+}
+
+// Sound holds a target if it is sound.
+func (p *Picker) Sound(target site.Target) (*Pick, bool) {
+	if !p.IsSound(target) {
+		return nil, false
+	}
+	t := p.table.Load()
+	now, ok := t.roster.Get(target.Name)
+	if !ok {
 		return nil, false
 	}
-	return p.hold(t, target, 0), true
+	return p.hold(t, now, 0), true
 }
 
 // hold counts a request on a target.
@@ -146,13 +157,6 @@
 	}
 }
 
-// Open tells whether the target still takes new work under the same start.
-func (k *Pick) Open() bool {
-	t := k.picker.table.Load()
-	target, ok := t.roster.Get(k.Target.Name)
-	return ok && !target.Leaving && t.states[target.Name] == k.state
-}
-
 // Read notes that the prompt was read.
 func (k *Pick) Read() {
 	k.state.reading.Add(-int64(k.prompt))
@@ -165,11 +169,6 @@
 	k.state.flying.Add(-1)
 }
 
-// Suspect tells whether the target is avoided.
-func (k *Pick) Suspect() bool {
-	return k.state.belief.Load().Suspect(time.Now())
-}
-
 // Succeeded notes a whole answer.
 func (k *Pick) Succeeded(took time.Duration) {
 	k.state.update(func(b health.Belief) health.Belief { return b.WithSuccess(time.Now(), took) })
