--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -270,6 +270,9 @@
 	request.URL = &url.URL{Scheme: "http", Host: r.Address, Opaque: r.Path}
 	request.Host = r.Host
 	request.Header = http.Header(r.Header)
+	if request.Header == nil {
+		request.Header = make(http.Header)
+	}
 	if _, ok := request.Header["User-Agent"]; !ok {
 		request.Header["User-Agent"] = []string{""}
 	}
