feed: two instances ask the store for all, others learn from them

Change: watches wait 0.7 s; so that this costs no more calls, two elected instances ask, the rest pull from them, and step in when what they know is 1.4 s old. Ruled out: short watches by every instance (three times the calls); stale reads, which may be seconds behind.

--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -148,6 +148,7 @@
 	Kind    string         `cbor:"1,keyasint"`
 	At      uint64         `cbor:"2,keyasint"`
 	Objects []ConfigObject `cbor:"3,keyasint,omitempty"`
+	Age     time.Duration  `cbor:"4,keyasint"` // Age is the time since the sender's copy was known to be the store's, by way of any instance.
 }
 
 // Failed answers a message that could not be handled.
--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -14,10 +14,16 @@
 )
 
 const (
-	watchWait   = 8 * time.Second         // watchWait is how long one watch waits; probes of the connection show earlier when it is dead.
-	callTimeout = 1500 * time.Millisecond // callTimeout bounds a list, and a watch beyond its wait.
+	watchers    = 2                       // watchers is the number of instances that ask the store for all; one may be lost at any time.
+	watchWait   = 700 * time.Millisecond  // watchWait is how long one watch waits; a store that dropped its history leaves watches without an answer, and changes have to be in force in 2 s.
+	callTimeout = 600 * time.Millisecond  // callTimeout bounds a list, and a watch beyond its wait.
 	backoffBase = 150 * time.Millisecond  // backoffBase is the first wait after a failed call.
 	backoffMax  = 600 * time.Millisecond  // backoffMax bounds that wait, so that a store that returns is noticed well within two seconds.
+	dutyPause   = 100 * time.Millisecond  // dutyPause is the time between two looks at one's duty.
+	dutyKept    = 6 * time.Second         // dutyKept is how long an instance that stepped in goes on.
+	stepInFirst = 1400 * time.Millisecond // stepInFirst is the age from which more instances ask the store; news passes from those that do within 1.3 s.
+	stepInAll   = 1700 * time.Millisecond // stepInAll is the age from which all do.
+	lostAfter   = 2 * time.Second         // lostAfter is the age from which the store counts as lost.
 	settle      = 2 * time.Second         // settle is how long after the store's return entries may still be missing.
 )
 
@@ -32,6 +38,14 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Page, error)
 }
 
+// Duties tells which instances ask the store for all.
+type Duties interface {
+	// Elected tells whether this instance is one of a few that act for all.
+	Elected(role string, count int) bool
+	// Push tells other members at once that there is news.
+	Push()
+}
+
 // Settings configures a feed.
 type Settings struct {
 	Kind string
@@ -44,16 +58,16 @@
 	source   Source
 	log      log.Interface
 	view     *cell.Cell[mirror.View]
+	duties   atomic.Pointer[Duties]
 	changes  *metrics.Counter
-	lost     atomic.Bool
-	returned atomic.Int64 // returned is when the store answered again after a loss, in nanoseconds since began.
-	heard    atomic.Int64 // heard is when the store answered last, in nanoseconds since began.
 	began    time.Time
+	asOf     atomic.Int64 // asOf is when the view was known to be the store's, in nanoseconds since began.
+	returned atomic.Int64 // returned is when that was known again after a loss.
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
 
-// New returns a feed that begins to follow its source.
+// New returns a feed that lists once and follows its source when its duties say so.
 func New(s Settings, source Source, logger log.Interface, set *metrics.Set) *Feed {
 	f := &Feed{
 		settings: s,
@@ -76,9 +90,14 @@
 	return f
 }
 
-// Age returns the time since the store answered last.
+// Age returns the time since the view was known to be the store's, by way of any instance.
 func (f *Feed) Age() time.Duration {
-	return time.Since(f.began) - time.Duration(f.heard.Load())
+	return time.Since(f.began) - time.Duration(f.asOf.Load())
+}
+
+// Assign tells the feed its duties; before that it asks the store itself.
+func (f *Feed) Assign(d Duties) {
+	f.duties.Store(&d)
 }
 
 // Changed returns a channel that closes at the next change.
@@ -104,7 +123,7 @@
 
 // Settled tells whether what the view lacks is gone, and not only lapsed while the store was away.
 func (f *Feed) Settled() bool {
-	return !f.lost.Load() && time.Since(f.began)-time.Duration(f.returned.Load()) >= settle
+	return f.Age() < lostAfter && time.Since(f.began)-time.Duration(f.returned.Load()) >= settle
 }
 
 // Take merges a page from the store or a peer.
@@ -121,6 +140,9 @@
 	if changed {
 		f.changes.Inc()
 		f.log.WithFields(log.Fields{"from": from, "revision": p.At, "objects": len(p.Objects), "whole": p.Whole}).Debug("objects changed")
+		if d := f.duties.Load(); d != nil {
+			(*d).Push()
+		}
 	}
 }
 
@@ -129,65 +151,137 @@
 	return f.view.Load()
 }
 
-// fail notes a failed call.
-func (f *Feed) fail(err error) {
-	if !f.lost.Swap(true) {
-		f.log.WithError(err).WithField("revision", f.View().At()).Warn("store lost")
+// Confirm notes that the view was the store's some time ago.
+func (f *Feed) Confirm(age time.Duration) {
+	now := time.Since(f.began)
+	at := now - age
+	for {
+		before := f.asOf.Load()
+		if int64(at) <= before {
+			return
+		}
+		if !f.asOf.CompareAndSwap(before, int64(at)) {
+			continue
+		}
+		if gap := now - time.Duration(before); gap > lostAfter && before > 0 {
+			f.returned.Store(int64(now))
+			f.log.WithFields(log.Fields{"revision": f.View().At(), "gap-ms": gap.Milliseconds()}).Info("store is heard of again")
+		}
+		return
+	}
+}
+
+// duty tells whether this instance has to ask the store, and until when it goes on with it.
+func (f *Feed) duty(kept time.Time) (bool, time.Time) {
+	d := f.duties.Load()
+	if d == nil {
+		return true, kept
+	}
+	role := "feed/" + f.settings.Kind
+	if (*d).Elected(role, watchers) {
+		return true, kept
+	}
+	now := time.Now()
+	age := f.Age()
+	if age > stepInAll || age > stepInFirst && (*d).Elected(role, 2*watchers) {
+		if now.After(kept) {
+			f.log.WithFields(log.Fields{"age-ms": age.Milliseconds(), "revision": f.View().At()}).Info("steps in to ask the store")
+		}
+		return true, now.Add(dutyKept)
 	}
+	return now.Before(kept), kept
 }
 
-// loop lists and then watches, again from the list when the history is gone.
+// loop lists and then watches while it is this instance's duty, again from the list when the history is gone.
 func (f *Feed) loop(ctx context.Context) {
-	pause := backoffBase
-	var at uint64
-	listed := false
+	s := asker{feed: f, pause: backoffBase}
 	for ctx.Err() == nil {
-		began := time.Now()
-		page, err := f.next(ctx, listed, at)
-		switch {
-		case ctx.Err() != nil:
-			return
-		case errors.Is(err, ErrForgotten):
-			f.log.WithField("revision", at).Info("history is gone; listing again")
-			listed = false
-		case err != nil:
-			f.fail(err)
-			wait.For(ctx, pause)
-			pause = min(2*pause, backoffMax)
+		var onDuty bool
+		onDuty, s.kept = f.duty(s.kept)
+		if !onDuty && s.listed {
+			s.idle = true
+			wait.For(ctx, dutyPause)
 			continue
-		default:
-			f.succeed(page)
-			listed, at = true, max(at, page.At)
-			pause = backoffBase
 		}
-		wait.For(ctx, f.settings.Pace-time.Since(began))
+		s.step(ctx)
+	}
+}
+
+// asker is what one feed remembers between its calls.
+type asker struct {
+	feed   *Feed
+	at     uint64 // at is the revision to watch from.
+	listed bool   // listed tells that at is known.
+	idle   bool   // idle tells that others asked meanwhile.
+	lost   bool   // lost tells that calls fail, so that one line is logged for a series.
+	pause  time.Duration
+	kept   time.Time // kept is until when a duty that was stepped into goes on.
+}
+
+// step makes one call and waits until the next may be made.
+func (s *asker) step(ctx context.Context) {
+	f := s.feed
+	began := time.Now()
+	if s.idle {
+		s.idle = false
+		s.at = max(s.at, f.View().At())
+	}
+	page, err := s.call(ctx)
+	switch {
+	case ctx.Err() != nil:
+		return
+	case errors.Is(err, ErrForgotten):
+		f.log.WithField("revision", s.at).Info("history is gone; listing again")
+		s.listed = false
+		return
+	case err != nil:
+		s.fail(err)
+		wait.For(ctx, s.pause)
+		s.pause = min(2*s.pause, backoffMax)
+		return
 	}
+	s.succeed(page, began)
+	wait.For(ctx, f.settings.Pace-time.Since(began))
 }
 
-// next lists or watches once.
-func (f *Feed) next(ctx context.Context, listed bool, at uint64) (mirror.Page, error) {
-	if !listed {
+// call lists or watches once; a watch that gets no answer is followed by a list, since the history may be gone.
+func (s *asker) call(ctx context.Context) (mirror.Page, error) {
+	if !s.listed {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		return f.source.List(ctx)
-	}
-	patience := watchWait
-	if f.lost.Load() {
-		patience = backoffMax
+		return s.feed.source.List(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, patience+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
-	return f.source.Watch(ctx, at, patience)
+	page, err := s.feed.source.Watch(ctx, s.at, watchWait)
+	if err != nil {
+		s.listed = false
+	}
+	return page, err
+}
+
+// fail notes a failed call.
+func (s *asker) fail(err error) {
+	if !s.lost {
+		s.lost = true
+		s.feed.log.WithError(err).WithField("revision", s.at).Warn("store lost")
+	}
 }
 
 // succeed takes a page of the store.
-func (f *Feed) succeed(p mirror.Page) {
-	now := time.Since(f.began)
-	f.heard.Store(int64(now))
-	if f.lost.Load() {
-		f.returned.Store(int64(now))
-		f.lost.Store(false)
-		f.log.WithField("revision", p.At).Info("store is back")
+func (s *asker) succeed(p mirror.Page, began time.Time) {
+	f := s.feed
+	if s.lost {
+		s.lost = false
+		f.log.WithField("revision", p.At).Info("store answers")
+	}
+	s.pause = backoffBase
+	asOf := began
+	if s.listed {
+		asOf = time.Now()
 	}
+	s.listed = true
+	s.at = max(s.at, p.At)
+	f.Confirm(time.Since(asOf))
 	f.Take(p, "store")
 }
--- a/entry/feed/swap.go
+++ b/entry/feed/swap.go
@@ -3,19 +3,22 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"bramleywharf.example/core/member"
 	"bramleywharf.example/core/mirror"
 	"bramleywharf.example/core/peer"
+	"bramleywharf.example/core/route"
 	"bramleywharf.example/core/wait"
 	"bramleywharf.example/core/wire"
 	"github.com/apex/log"
 )
 
 const (
-	swapPeriod  = 600 * time.Millisecond // swapPeriod is the time between two pulls, so that news passes two instances within the users' 2 s.
+	swapPeriod  = 400 * time.Millisecond // swapPeriod is the time between two pulls; news that was not pushed passes an instance in that time.
+	randomTurn  = 3                      // randomTurn is how often a pull goes to any member and not to one that asks the store.
 	swapTimeout = 500 * time.Millisecond // swapTimeout bounds one pull.
 )
 
@@ -36,6 +39,8 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 
+	turn int // turn counts the pulls.
+
 	mu     sync.Mutex
 	oldest bool // oldest tells that pulls fail, so that one line is logged for a series.
 }
@@ -55,7 +60,7 @@
 	}()
 }
 
-// Age returns the least time since the store answered any feed.
+// Age returns the least age of all feeds.
 func (s *Swap) Age() time.Duration {
 	age := s.feeds[0].Age()
 	for _, f := range s.feeds[1:] {
@@ -80,8 +85,11 @@
 	var pages wire.Pages
 	for _, mark := range p.Marks {
 		for _, f := range s.feeds {
-			if view := f.View(); f.Kind() == mark.Kind && view.At() > mark.At {
-				pages.Pages = append(pages.Pages, encode(mark.Kind, view.Since(mark.At)))
+			if f.Kind() == mark.Kind {
+				age := f.Age()
+				page := encode(mark.Kind, f.View().Since(mark.At))
+				page.Age = age
+				pages.Pages = append(pages.Pages, page)
 			}
 		}
 	}
@@ -120,7 +128,7 @@
 			s.Pull(ctx, address)
 			wait.For(ctx, swapPeriod/4)
 		case <-tick.C:
-			if address, ok := another(members); ok {
+			if address, ok := s.another(members); ok {
 				s.Pull(ctx, address)
 			}
 		}
@@ -131,6 +139,7 @@
 func (s *Swap) Pull(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, swapTimeout)
 	defer cancel()
+	began := time.Now()
 	var question wire.Pull
 	for _, f := range s.feeds {
 		question.Marks = append(question.Marks, wire.Mark{Kind: f.Kind(), At: f.View().At()})
@@ -145,6 +154,7 @@
 		for _, f := range s.feeds {
 			if f.Kind() == p.Kind {
 				f.Take(decode(p), address)
+				f.Confirm(p.Age + time.Since(began))
 			}
 		}
 	}
@@ -166,19 +176,27 @@
 	s.log.WithField("peer", address).Info("pulls from peers work again")
 }
 
-// another returns the address of a random other member that is not dead.
-func another(members Members) (string, bool) {
+// another returns the address of a member to pull from: of one that asks the store, or in turn of any.
+func (s *Swap) another(members Members) (string, bool) {
 	self := members.Self().Name
-	var addresses []string
+	var live []string
 	for _, m := range members.View().Live() {
-		if m.Name != self && m.State == member.Alive {
-			addresses = append(addresses, m.PeerAddress)
+		if m.State == member.Alive && m.Incarnation > 0 {
+			live = append(live, m.Name)
 		}
 	}
-	if len(addresses) == 0 {
+	s.turn++
+	if s.turn%randomTurn != 0 {
+		kind := s.feeds[s.turn%len(s.feeds)].Kind()
+		live = route.Rank("feed/"+kind, live)
+		live = live[:min(watchers, len(live))]
+	}
+	live = slices.DeleteFunc(live, func(name string) bool { return name == self })
+	if len(live) == 0 {
 		return "", false
 	}
-	return addresses[rand.IntN(len(addresses))], true
+	m, ok := members.View().Get(live[rand.IntN(len(live))])
+	return m.PeerAddress, ok
 }
 
 // decode returns the page of a message.
