--- a/entry/pass/attempt.go
+++ b/entry/flight/attempt.go
@@ -1,4 +1,4 @@
-package pass
+package flight
 
 import (
 	"context"
@@ -10,6 +10,7 @@
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/link"
 	"bramleywharf.example/entry/picker"
+	"bramleywharf.example/entry/send"
 	"github.com/pkg/errors"
 )
 
@@ -59,27 +60,27 @@
 func (unwanted) isEnding()  {}
 
 // attempt runs the stream at one target, from a copy if its address is given.
-func (g *flight) attempt(ctx context.Context, pick *picker.Pick, source Source) ending {
+func (g *flight) attempt(ctx context.Context, pick *picker.Pick, source send.Source) ending {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	guard := newGuard(ctx, g, pick, source != Source{}, cancel)
+	guard := newGuard(ctx, g, pick, source != send.Source{}, cancel)
 	defer guard.stop()
-	s := Send{Call: g.call, Target: pick.Target, Left: left(g.call, g.request), After: g.last, Source: source}
+	s := send.Send{Call: g.call, Target: pick.Target, Left: send.Left(g.call, g.request), After: g.last, Source: source}
 	var backup site.Target
 	if g.copies {
 		backup, _ = g.backupFor(pick.Target, "")
 		s.Backup = backup.Address
 	}
-	g.pass.counts.sends.Inc()
-	reply, err := g.pass.link.Send(ctx, g.pass.outgoing(s, g.request, false))
+	g.sender.Counts.Sends.Inc()
+	reply, err := g.sender.Link.Send(ctx, g.sender.Outgoing(s, g.request, false))
 	var unsent *link.NotSentError
 	if errors.As(err, &unsent) {
-		g.pass.counts.unsent.Inc()
+		g.sender.Counts.Unsent.Inc()
 		return unrun{lost: true, cause: err.Error()}
 	}
 	g.sends++
 	if backup.Name != "" {
-		g.copied.Store(&copied{holder: backup, source: Source{Address: backup.Address, Handle: g.call.ID}})
+		g.copied.Store(&copied{holder: backup, source: send.Source{Address: backup.Address, Handle: g.call.ID}})
 	}
 	if err != nil {
 		return broken{cause: g.cause(ctx, err)}
@@ -95,7 +96,7 @@
 	for name := range g.avoid {
 		want.Avoid[name] = true
 	}
-	return g.pass.picker.Backup(want, runner.Domain)
+	return g.sender.Picker.Backup(want, runner.Domain)
 }
 
 // cause names what ended a connection.
@@ -107,16 +108,16 @@
 }
 
 // read takes the response of a target.
-func (g *flight) read(ctx context.Context, pick *picker.Pick, reply *link.Reply, guard *guard, source Source) ending {
-	switch v := g.pass.dialect.Judge(reply.Status(), reply.Header()).(type) {
-	case NotRun:
+func (g *flight) read(ctx context.Context, pick *picker.Pick, reply *link.Reply, guard *guard, source send.Source) ending {
+	switch v := g.sender.Dialect.Judge(reply.Status(), reply.Header()).(type) {
+	case send.NotRun:
 		_, _ = reply.Whole() // The body says nothing; it is read so that the connection can be kept.
 		g.copied.Store(nil)
 		return unrun{sent: true, lost: v.Misdirected, cause: fmt.Sprintf("status %d", reply.Status())}
-	case Unsigned:
+	case send.Unsigned:
 		return broken{cause: fmt.Sprintf("response with status %d proves nothing", reply.Status())}
 	}
-	head := chain.Head{Status: reply.Status(), Header: g.pass.dialect.Response(reply.Header())}
+	head := chain.Head{Status: reply.Status(), Header: g.sender.Dialect.Response(reply.Header())}
 	if reply.Status() != 200 {
 		body, err := reply.Whole()
 		if err != nil {
@@ -128,7 +129,7 @@
 }
 
 // copyEvents passes whole events on until the stream ends.
-func (g *flight) copyEvents(ctx context.Context, pick *picker.Pick, reply *link.Reply, head chain.Head, guard *guard, source Source) ending {
+func (g *flight) copyEvents(ctx context.Context, pick *picker.Pick, reply *link.Reply, head chain.Head, guard *guard, source send.Source) ending {
 	stream := newEvents(reply)
 	first := true
 	for {
@@ -155,17 +156,17 @@
 }
 
 // noteResumed counts a stream that went on at another target.
-func (g *flight) noteResumed(source Source) {
+func (g *flight) noteResumed(source send.Source) {
 	if !g.begun {
 		return
 	}
 	g.resumed++
-	g.pass.counts.resume.Update(time.Since(g.sent).Seconds())
-	if source == (Source{}) {
-		g.pass.counts.rereads.Inc()
+	g.sender.Counts.Resume.Update(time.Since(g.sent).Seconds())
+	if source == (send.Source{}) {
+		g.sender.Counts.Rereads.Inc()
 		return
 	}
-	g.pass.counts.copies.Inc()
+	g.sender.Counts.Copies.Inc()
 }
 
 // deliver sends one event to the caller.
@@ -182,11 +183,11 @@
 	now := time.Now()
 	if g.sent.IsZero() {
 		g.first = now.Sub(g.request.Received)
-		g.pass.counts.first.Update(g.first.Seconds())
+		g.sender.Counts.First.Update(g.first.Seconds())
 	} else {
 		pause := now.Sub(g.sent)
 		g.pause = max(g.pause, pause)
-		g.pass.counts.pause.Update(pause.Seconds())
+		g.sender.Counts.Pause.Update(pause.Seconds())
 	}
 	g.sent = now
 	g.events++
--- a/entry/pass/copy.go
+++ b/entry/flight/copy.go
@@ -1,10 +1,11 @@
-package pass
+package flight
 
 import (
 	"context"
 	"time"
 
 	"bramleywharf.example/core/site"
+	"bramleywharf.example/entry/send"
 	"github.com/apex/log"
 )
 
@@ -21,7 +22,7 @@
 	}
 	runner := d.pick.Target
 	c := d.flight.copied.Load()
-	sound := c != nil && d.pass.picker.IsSound(c.holder)
+	sound := c != nil && d.sender.Picker.IsSound(c.holder)
 	if sound && (c.ordered.IsZero() || time.Since(c.ordered) < d.flight.copyLife) {
 		return
 	}
@@ -44,28 +45,28 @@
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	began := time.Now()
-	d.pass.counts.orders.Inc()
+	d.sender.Counts.Orders.Inc()
 	fields := log.Fields{"request": d.flight.call.ID, "target": runner.Name, "holder": holder.Name}
-	reply, err := d.pass.link.Send(ctx, d.pass.dialect.Copy(d.flight.call, runner, holder))
+	reply, err := d.sender.Link.Send(ctx, d.sender.Dialect.Copy(d.flight.call, runner, holder))
 	if err != nil {
-		d.pass.log.WithFields(fields).WithError(err).Info("copy was not made")
+		d.sender.Log.WithFields(fields).WithError(err).Info("copy was not made")
 		return
 	}
 	status := reply.Status()
 	body, err := reply.Whole()
 	if err != nil {
-		d.pass.log.WithFields(fields).WithError(err).Info("copy was not made")
+		d.sender.Log.WithFields(fields).WithError(err).Info("copy was not made")
 		return
 	}
-	handle, ok := d.pass.dialect.Copied(status, body)
+	handle, ok := d.sender.Dialect.Copied(status, body)
 	if !ok {
 		d.refused = holder.Name
-		d.pass.log.WithFields(fields).WithField("status", status).Info("copy was not made")
+		d.sender.Log.WithFields(fields).WithField("status", status).Info("copy was not made")
 		return
 	}
-	next := &copied{holder: holder, source: Source{Address: runner.Address, Handle: handle}, ordered: began}
+	next := &copied{holder: holder, source: send.Source{Address: runner.Address, Handle: handle}, ordered: began}
 	if d.flight.copied.CompareAndSwap(old, next) {
-		d.pass.log.WithFields(fields).WithField("took-ms", time.Since(began).Milliseconds()).Debug("copy was made")
+		d.sender.Log.WithFields(fields).WithField("took-ms", time.Since(began).Milliseconds()).Debug("copy was made")
 	}
 }
 
@@ -78,12 +79,12 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
 	go func() {
 		defer cancel()
-		reply, err := g.pass.link.Send(ctx, g.pass.dialect.Drop(c.source))
+		reply, err := g.sender.Link.Send(ctx, g.sender.Dialect.Drop(c.source))
 		if err == nil {
 			_, err = reply.Whole()
 		}
 		if err != nil {
-			g.pass.log.WithError(err).WithFields(log.Fields{"request": g.call.ID, "holder": c.holder.Name}).Info("copy was not freed; it lapses by itself")
+			g.sender.Log.WithError(err).WithFields(log.Fields{"request": g.call.ID, "holder": c.holder.Name}).Info("copy was not freed; it lapses by itself")
 		}
 	}()
 }
--- a/entry/pass/event.go
+++ b/entry/flight/event.go
@@ -1,4 +1,4 @@
-package pass
+package flight
 
 import (
 	"bufio"
--- a/entry/pass/flight.go
+++ b/entry/flight/flight.go
@@ -1,4 +1,4 @@
-package pass
+package flight
 
 import (
 	"context"
@@ -11,11 +11,14 @@
 	"bramleywharf.example/core/wait"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/picker"
+	"bramleywharf.example/entry/send"
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 )
 
 const (
+	streamRetry = 600 * time.Millisecond  // streamRetry is when callers of streams should come back; engines of a failure domain are back after a second or so.
+	maxUnsent   = 8                       // maxUnsent bounds the targets that one stream could not be sent to.
 	targetWait  = 400 * time.Millisecond  // targetWait is how long a stream waits for a target before it is refused; an eighth of the sheet's aim of 4.5 s is free.
 	resumeWait  = 1500 * time.Millisecond // resumeWait is how long a begun stream waits for a target; its caller gives it up after 5.6 s of silence.
 	targetPause = 50 * time.Millisecond   // targetPause is the time between two looks for a target.
@@ -23,7 +26,7 @@
 
 // flight is a stream on its way; one goroutine owns it.
 type flight struct {
-	pass     *Pass
+	sender   *send.Sender
 	call     chain.Call
 	request  chain.Forward
 	policy   site.Stream
@@ -48,14 +51,19 @@
 // copied is a copy of a run at another target.
 type copied struct {
 	holder  site.Target
-	source  Source
+	source  send.Source
 	ordered time.Time // ordered is when the copy was ordered; zero for one that grows with its run.
 }
 
+// Run runs a stream until it is complete, refused or cut, or its caller has left.
+func Run(ctx context.Context, s *send.Sender, c chain.Call, f chain.Forward, policy site.Stream) chain.Answer {
+	return newFlight(s, c, f, policy).run(ctx)
+}
+
 // newFlight returns a stream that has not been sent.
-func newFlight(p *Pass, c chain.Call, f chain.Forward, policy site.Stream) *flight {
+func newFlight(s *send.Sender, c chain.Call, f chain.Forward, policy site.Stream) *flight {
 	g := &flight{
-		pass:    p,
+		sender:  s,
 		call:    c,
 		request: f,
 		policy:  policy,
@@ -72,7 +80,7 @@
 
 // run sends the request and goes on elsewhere until the stream is complete or may not go on.
 func (g *flight) run(ctx context.Context) chain.Answer {
-	g.pass.request(g.service)
+	g.sender.Request(g.service)
 	defer g.dropCopy(ctx)
 	for {
 		pick, source, ok := g.choose(ctx)
@@ -89,9 +97,9 @@
 }
 
 // choose returns the next target, and the copy to go on from if that target has one.
-func (g *flight) choose(ctx context.Context) (*picker.Pick, Source, bool) {
+func (g *flight) choose(ctx context.Context) (*picker.Pick, send.Source, bool) {
 	if c := g.copied.Swap(nil); c != nil {
-		if pick, ok := g.pass.picker.Sound(c.holder); ok {
+		if pick, ok := g.sender.Picker.Sound(c.holder); ok {
 			return pick, c.source, true
 		}
 	}
@@ -101,13 +109,13 @@
 	}
 	until := time.Now().Add(patience)
 	for {
-		pick, ok := g.pass.picker.Stream(g.want())
+		pick, ok := g.sender.Picker.Stream(g.want())
 		if ok {
-			return pick, Source{}, true
+			return pick, send.Source{}, true
 		}
 		clear(g.avoid)
 		if time.Now().After(until) || !wait.For(ctx, targetPause) {
-			return nil, Source{}, false
+			return nil, send.Source{}, false
 		}
 	}
 }
@@ -171,7 +179,7 @@
 func (g *flight) again(result ending) (chain.Answer, bool) {
 	if r, ok := result.(unrun); ok && !r.sent {
 		g.unsent++
-		if g.unsent <= maxUnsent*2 {
+		if g.unsent <= maxUnsent {
 			return nil, false
 		}
 	}
@@ -181,7 +189,7 @@
 		reason = "its target failed and it may not be resumed"
 	case g.sends >= g.call.Route.Attempts:
 		reason = "its attempts are used up"
-	case !g.pass.repeat(g.service):
+	case !g.sender.Repeat(g.service):
 		reason = "the retry bound is reached"
 	default:
 		return nil, false
@@ -193,16 +201,16 @@
 func (g *flight) conclude(reason string) chain.Answer {
 	switch {
 	case g.begun:
-		g.pass.counts.severed.Inc()
+		g.sender.Counts.Severed.Inc()
 		return chain.Severed{Reason: reason}
 	case g.failure != nil:
 		return *g.failure
 	case g.ran && !g.policy.Resumable:
-		return unknown(deny.KindOutcome, "%s; the request may have run", reason)
+		return send.Unknown(deny.KindOutcome, "%s; the request may have run", reason)
 	case g.ran:
-		return unknown(deny.KindOutcome, "%s", reason)
+		return send.Unknown(deny.KindOutcome, "%s", reason)
 	default:
-		return unavailable(streamRetry, "%s", reason)
+		return send.Unavailable(streamRetry, "%s", reason)
 	}
 }
 
@@ -217,7 +225,7 @@
 	case g.begun || g.failure != nil || !g.ran:
 		return g.conclude(reason)
 	default:
-		return unknown(deny.KindTimeout, "no event in time")
+		return send.Unknown(deny.KindTimeout, "no event in time")
 	}
 }
 
@@ -236,13 +244,13 @@
 	}
 	switch r := result.(type) {
 	case unrun:
-		g.pass.log.WithFields(fields).WithField("cause", r.cause).Info("target did not run the stream")
+		g.sender.Log.WithFields(fields).WithField("cause", r.cause).Info("target did not run the stream")
 	case broken:
 		if !g.sent.IsZero() {
 			fields["silence"] = time.Since(g.sent).Milliseconds()
 		}
-		g.pass.log.WithFields(fields).WithField("cause", r.cause).Info("stream was cut")
+		g.sender.Log.WithFields(fields).WithField("cause", r.cause).Info("stream was cut")
 	case refusedBy:
-		g.pass.log.WithFields(fields).WithField("status", r.passed.Head.Status).Info("target failed the stream")
+		g.sender.Log.WithFields(fields).WithField("status", r.passed.Head.Status).Info("target failed the stream")
 	}
 }
--- a/entry/pass/guard.go
+++ b/entry/flight/guard.go
@@ -1,4 +1,4 @@
-package pass
+package flight
 
 import (
 	"context"
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleywharf.example/entry/picker"
+	"bramleywharf.example/entry/send"
 	"github.com/pkg/errors"
 )
 
@@ -24,7 +25,7 @@
 	began   time.Time
 	heard   atomic.Int64  // heard is when the last event came, in nanoseconds since began; 0 before the first.
 	probed  time.Duration // probed is when the target was probed last, since began.
-	pass    *Pass
+	sender  *send.Sender
 	ordered time.Time   // ordered is when a copy was ordered last.
 	refused string      // refused names the target that refused to hold a copy last; the closure that makes a copy writes it while copying is set.
 	copying atomic.Bool // copying tells that a copy is being made.
@@ -40,7 +41,7 @@
 		copied: copied,
 		prompt: g.request.Prompt,
 		began:  time.Now(),
-		pass:   g.pass,
+		sender: g.sender,
 		end:    make(chan struct{}),
 		done:   make(chan struct{}),
 	}
@@ -55,7 +56,7 @@
 			case <-look.C:
 			}
 			if err := d.look(ctx); err != nil {
-				g.pass.counts.silences.Inc()
+				g.sender.Counts.Silences.Inc()
 				cancel(err)
 				return
 			}
@@ -82,7 +83,7 @@
 		return nil
 	}
 	d.probed = now
-	err := d.pass.link.Probe(ctx, d.pick.Target.Address)
+	err := d.sender.Link.Probe(ctx, d.pick.Target.Address)
 	if err != nil && ctx.Err() == nil && time.Duration(d.heard.Load()) == heard {
 		return errDark
 	}
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -23,6 +23,7 @@
 	"bramleywharf.example/entry/link"
 	"bramleywharf.example/entry/pass"
 	"bramleywharf.example/entry/picker"
+	"bramleywharf.example/entry/send"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 )
@@ -71,7 +72,7 @@
 	Targets      Kind
 	DecodeConfig board.DecodeConfig
 	DecodeTarget board.DecodeTarget
-	Dialect      pass.Dialect
+	Dialect      send.Dialect
 	EchoHeader   string // EchoHeader names the header that targets repeat in their responses.
 	// Front returns the handler of callers' requests before a chain.
 	Front func(chain.Handler, filter.Sites) http.Handler
@@ -232,8 +233,8 @@
 
 // open takes callers.
 func (i *Instance) open(members *fleet.Fleet) error {
-	forward := pass.New(pass.Settings{Retries: i.retries}, i.link, i.picker, i.borders.Dialect, i.log, i.set)
-	handler := chain.Build(forward.Handle,
+	sender := send.New(send.Settings{Retries: i.retries}, i.link, i.picker, i.borders.Dialect, i.log, i.set)
+	handler := chain.Build(pass.New(sender).Handle,
 		filter.NewTrace(i.log, i.set),
 		filter.NewRecord(i.set, i.log),
 		filter.NewLocate(i.board),
--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -9,18 +9,21 @@
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/link"
 	"bramleywharf.example/entry/picker"
+	"bramleywharf.example/entry/send"
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 )
 
 const (
+	retryAfter     = 150 * time.Millisecond // retryAfter is when callers of whole answers should come back; most losses are over or known by then.
+	maxUnsent      = 4                      // maxUnsent bounds the targets that one request could not be sent to.
 	patienceMin    = 150 * time.Millisecond // patienceMin is the shortest wait for an idempotent answer before another target is asked; the slowest sound answers take about 110 ms.
 	patienceFactor = 8                      // patienceFactor is how many mean latencies an answer may take.
 )
 
 // errand is a request that is answered as a whole.
 type errand struct {
-	pass       *Pass
+	sender     *send.Sender
 	call       chain.Call
 	request    chain.Forward
 	idempotent bool
@@ -63,9 +66,9 @@
 func (lost) isOutcome()     {}
 
 // newErrand returns a request that has not been sent.
-func newErrand(p *Pass, c chain.Call, f chain.Forward, idempotent bool) *errand {
+func newErrand(s *send.Sender, c chain.Call, f chain.Forward, idempotent bool) *errand {
 	return &errand{
-		pass:       p,
+		sender:     s,
 		call:       c,
 		request:    f,
 		idempotent: idempotent,
@@ -76,9 +79,9 @@
 
 // run sends the request until it has an answer or may not be sent again.
 func (e *errand) run(ctx context.Context) chain.Answer {
-	e.pass.request(e.service)
+	e.sender.Request(e.service)
 	for {
-		pick, ok := e.pass.picker.Plain(picker.Want{Service: e.service, Avoid: e.avoid})
+		pick, ok := e.sender.Picker.Plain(picker.Want{Service: e.service, Avoid: e.avoid})
 		if !ok {
 			return e.conclude("no target of the service is left")
 		}
@@ -122,7 +125,7 @@
 		return e.conclude("its target failed"), true
 	case e.sends >= e.call.Route.Attempts:
 		return e.conclude("its attempts are used up"), true
-	case !e.pass.repeat(e.service):
+	case !e.sender.Repeat(e.service):
 		return e.conclude("the retry bound is reached"), true
 	}
 	return nil, false
@@ -134,9 +137,9 @@
 	case e.failure != nil:
 		return *e.failure
 	case e.ran:
-		return unknown(deny.KindOutcome, "%s; the request may have run", reason)
+		return send.Unknown(deny.KindOutcome, "%s; the request may have run", reason)
 	default:
-		return unavailable(retryAfter, "%s", reason)
+		return send.Unavailable(retryAfter, "%s", reason)
 	}
 }
 
@@ -148,9 +151,9 @@
 	case e.failure != nil:
 		return *e.failure
 	case e.ran:
-		return unknown(deny.KindTimeout, "no answer in time")
+		return send.Unknown(deny.KindTimeout, "no answer in time")
 	default:
-		return unavailable(retryAfter, "no target took the request in time")
+		return send.Unavailable(retryAfter, "no target took the request in time")
 	}
 }
 
@@ -162,12 +165,12 @@
 		return
 	case notRun:
 		pick.Failed()
-		e.pass.log.WithFields(fields).WithField("status", r.status).Info("target did not run the request")
+		e.sender.Log.WithFields(fields).WithField("status", r.status).Info("target did not run the request")
 	case notSent:
-		e.pass.log.WithFields(fields).WithError(r.err).Info("target did not get the request")
+		e.sender.Log.WithFields(fields).WithError(r.err).Info("target did not get the request")
 	case lost:
 		pick.Failed()
-		e.pass.log.WithFields(fields).WithError(r.err).Info("request may have run")
+		e.sender.Log.WithFields(fields).WithError(r.err).Info("request may have run")
 	}
 }
 
@@ -176,12 +179,12 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, e.patience(pick))
 	defer cancel()
-	message := e.pass.outgoing(Send{Call: e.call, Target: pick.Target, Left: left(e.call, e.request)}, e.request, !e.idempotent)
-	e.pass.counts.sends.Inc()
-	reply, err := e.pass.link.Send(ctx, message)
+	message := e.sender.Outgoing(send.Send{Call: e.call, Target: pick.Target, Left: send.Left(e.call, e.request)}, e.request, !e.idempotent)
+	e.sender.Counts.Sends.Inc()
+	reply, err := e.sender.Link.Send(ctx, message)
 	var unsent *link.NotSentError
 	if errors.As(err, &unsent) {
-		e.pass.counts.unsent.Inc()
+		e.sender.Counts.Unsent.Inc()
 		e.unsent++
 		if ctx.Err() == nil || !errors.Is(ctx.Err(), context.Canceled) {
 			pick.Lost(err.Error())
@@ -201,7 +204,7 @@
 
 // patience returns how long one target is waited for: to the end if no other may be asked.
 func (e *errand) patience(pick *picker.Pick) time.Duration {
-	rest := left(e.call, e.request)
+	rest := send.Left(e.call, e.request)
 	if !e.idempotent || e.sends+1 >= e.call.Route.Attempts {
 		return rest
 	}
@@ -211,17 +214,17 @@
 // verdict returns what a whole response says.
 func (e *errand) verdict(pick *picker.Pick, reply *link.Reply, body []byte, took time.Duration) outcome {
 	status := reply.Status()
-	switch v := e.pass.dialect.Judge(status, reply.Header()).(type) {
-	case NotRun:
+	switch v := e.sender.Dialect.Judge(status, reply.Header()).(type) {
+	case send.NotRun:
 		if v.Misdirected {
 			pick.Lost("another target has the address")
 		}
 		return notRun{status: status}
-	case Signed:
+	case send.Signed:
 		if status < 500 {
 			pick.Succeeded(took)
 		}
-		head := chain.Head{Status: status, Header: e.pass.dialect.Response(reply.Header())}
+		head := chain.Head{Status: status, Header: e.sender.Dialect.Response(reply.Header())}
 		return answered{passed: chain.Passed{Head: head, Body: body}}
 	default:
 		return lost{err: errors.Errorf("response with status %d proves nothing", status)}
--- /dev/null
+++ b/entry/send/send.go
@@ -0,0 +1,222 @@
+package send
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramleywharf.example/core/deny"
+	"bramleywharf.example/core/retry"
+	"bramleywharf.example/core/site"
+	"bramleywharf.example/entry/chain"
+	"bramleywharf.example/entry/link"
+	"bramleywharf.example/entry/picker"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+)
+
+const (
+	deadlineMargin = 20 * time.Millisecond // deadlineMargin is kept back from a caller's deadline for the way of the answer.
+)
+
+// Send describes one request to a target, for its encoding.
+type Send struct {
+	Call   chain.Call
+	Target site.Target
+	Left   time.Duration // Left is the time that the target may take.
+	After  string        // After is the id of the event to go on after, or empty.
+	Source Source        // Source is the copy to go on from, or the zero value.
+	Backup string        // Backup is the address of the target that should keep a copy of the run, or empty.
+}
+
+// Source names a copy of a run.
+type Source struct {
+	Address string // Address is that of the target which keeps the copy, or which made it on order.
+	Handle  string // Handle names the copy there.
+}
+
+// Verdict is the sealed set of what a response says of itself: Signed, NotRun and Unsigned.
+type Verdict interface {
+	isVerdict()
+}
+
+// Signed responses were made by the target that ran the request.
+type Signed struct{}
+
+// NotRun responses promise that the request has not run and never will.
+type NotRun struct {
+	Misdirected bool // Misdirected tells that another target has the address.
+}
+
+// Unsigned responses prove nothing.
+type Unsigned struct{}
+
+func (Signed) isVerdict()   {}
+func (NotRun) isVerdict()   {}
+func (Unsigned) isVerdict() {}
+
+// Dialect encodes requests for targets and reads what their responses say.
+type Dialect interface {
+	// Header returns the headers of a request to a target.
+	Header(s Send) map[string][]string
+	// Copy returns the call that orders the target of a run to copy it to another target.
+	Copy(c chain.Call, runner, holder site.Target) link.Request
+	// Copied returns the handle of a copy from the response to such a call.
+	Copied(status int, body []byte) (handle string, ok bool)
+	// Drop returns the call that frees such a copy.
+	Drop(s Source) link.Request
+	// Judge returns what a response says of itself.
+	Judge(status int, header map[string][]string) Verdict
+	// Response returns the headers that belong to the caller.
+	Response(header map[string][]string) chain.Header
+}
+
+// Settings configures a sender.
+type Settings struct {
+	Retries func() retry.Bound // Retries returns this instance's share of the fleet's bound.
+}
+
+// Sender holds what sends to targets need.
+type Sender struct {
+	Link     *link.Link
+	Picker   *picker.Picker
+	Dialect  Dialect
+	Log      log.Interface
+	Counts   Counts
+	settings Settings
+	began    time.Time
+	windows  sync.Map // windows holds an *atomic.Pointer[retry.Window] for each service.
+}
+
+// Counts holds the metrics of forwarded calls.
+type Counts struct {
+	Sends    *metrics.Counter
+	Unsent   *metrics.Counter
+	Repeats  *metrics.Counter
+	Denied   *metrics.Counter
+	Copies   *metrics.Counter
+	Orders   *metrics.Counter
+	Rereads  *metrics.Counter
+	Severed  *metrics.Counter
+	Silences *metrics.Counter
+	First    *metrics.Histogram
+	Pause    *metrics.Histogram
+	Resume   *metrics.Histogram
+}
+
+// New returns a sender.
+func New(s Settings, l *link.Link, p *picker.Picker, d Dialect, logger log.Interface, set *metrics.Set) *Sender {
+	return &Sender{
+		Link:     l,
+		Picker:   p,
+		Dialect:  d,
+		Log:      logger,
+		settings: s,
+		began:    time.Now(),
+		Counts: Counts{
+			Sends:    set.GetOrCreateCounter("bramleywharf_sends_total"),
+			Unsent:   set.GetOrCreateCounter("bramleywharf_sends_failed_unsent_total"),
+			Repeats:  set.GetOrCreateCounter("bramleywharf_sends_repeated_total"),
+			Denied:   set.GetOrCreateCounter("bramleywharf_retries_denied_total"),
+			Copies:   set.GetOrCreateCounter(`bramleywharf_streams_resumed_total{from="copy"}`),
+			Orders:   set.GetOrCreateCounter("bramleywharf_copies_ordered_total"),
+			Rereads:  set.GetOrCreateCounter(`bramleywharf_streams_resumed_total{from="prompt"}`),
+			Severed:  set.GetOrCreateCounter("bramleywharf_streams_severed_total"),
+			Silences: set.GetOrCreateCounter("bramleywharf_streams_silent_total"),
+			First:    set.GetOrCreateHistogram("bramleywharf_first_event_seconds"),
+			Pause:    set.GetOrCreateHistogram("bramleywharf_event_pause_seconds"),
+			Resume:   set.GetOrCreateHistogram("bramleywharf_stream_resume_seconds"),
+		},
+	}
+}
+
+// RepeatsLeft returns the repeats that the bound still allows for a service.
+func (s *Sender) RepeatsLeft(service string) int {
+	return s.window(service).Load().Left(time.Since(s.began), s.settings.Retries())
+}
+
+// Request counts a request of a service.
+func (s *Sender) Request(service string) {
+	w := s.window(service)
+	for {
+		old := w.Load()
+		next := old.WithRequest(time.Since(s.began))
+		if w.CompareAndSwap(old, &next) {
+			return
+		}
+	}
+}
+
+// Repeat takes one repeat from the bound of a service, or returns false.
+func (s *Sender) Repeat(service string) bool {
+	w := s.window(service)
+	for {
+		old := w.Load()
+		next, ok := old.WithRepeat(time.Since(s.began), s.settings.Retries())
+		if !ok {
+			s.Counts.Denied.Inc()
+			return false
+		}
+		if w.CompareAndSwap(old, &next) {
+			s.Counts.Repeats.Inc()
+			return true
+		}
+	}
+}
+
+// window returns the window of a service.
+func (s *Sender) window(service string) *atomic.Pointer[retry.Window] {
+	if w, ok := s.windows.Load(service); ok {
+		return w.(*atomic.Pointer[retry.Window])
+	}
+	fresh := &atomic.Pointer[retry.Window]{}
+	fresh.Store(&retry.Window{})
+	w, _ := s.windows.LoadOrStore(service, fresh)
+	return w.(*atomic.Pointer[retry.Window])
+}
+
+// Limit returns when a call needs its final answer: at its route's timeout, and in time for its caller.
+func Limit(c chain.Call, f chain.Forward) time.Time {
+	at := f.Deadline.Add(-deadlineMargin)
+	if c.Route.Timeout > 0 {
+		if timeout := f.Received.Add(c.Route.Timeout); timeout.Before(at) {
+			at = timeout
+		}
+	}
+	return at
+}
+
+// Left returns how long a target may take.
+func Left(c chain.Call, f chain.Forward) time.Duration {
+	at := f.Deadline
+	if c.Route.Timeout > 0 {
+		if timeout := f.Received.Add(c.Route.Timeout); timeout.Before(at) {
+			at = timeout
+		}
+	}
+	return time.Until(at)
+}
+
+// Outgoing returns the message of one send.
+func (s *Sender) Outgoing(m Send, f chain.Forward, fresh bool) link.Request {
+	return link.Request{
+		Address: m.Target.Address,
+		Host:    f.Host,
+		Method:  f.Method,
+		Path:    f.Path,
+		Header:  s.Dialect.Header(m),
+		Body:    f.Body,
+		Echo:    m.Call.ID,
+		Fresh:   fresh,
+	}
+}
+
+// Unavailable refuses a call that was not run.
+func Unavailable(after time.Duration, format string, args ...any) chain.Answer {
+	return chain.Refuse(deny.New(deny.KindUnavailable, format, args...).WithRetryAfter(after))
+}
+
+// Unknown refuses a call that may have run.
+func Unknown(kind deny.Kind, format string, args ...any) chain.Answer {
+	return chain.Refuse(deny.New(kind, format, args...).WithExecuted(deny.ExecutedUnknown))
+}
