picker: the load of all instances is known to each; begun streams outlive the route's timeout

Change: pulls carry the loads that instances know of each other; the timeout of a route bounds the wait for the first event; a target is asked what it runs after 2.2 s.

--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -136,11 +136,28 @@
 // Pull asks for what changed after the sender's marks.
 type Pull struct {
 	Marks []Mark `cbor:"1,keyasint"`
+	Loads []Load `cbor:"2,keyasint,omitempty"` // Loads holds what the sender knows of all instances.
 }
 
 // Pages answers Pull with the changes of each kind.
 type Pages struct {
 	Pages []KindPage `cbor:"1,keyasint,omitempty"`
+	Loads []Load     `cbor:"2,keyasint,omitempty"` // Loads holds what the sender knows of all instances.
+}
+
+// Load is what one instance has running at targets.
+type Load struct {
+	Instance string       `cbor:"1,keyasint"`
+	Sequence uint64       `cbor:"2,keyasint"` // Sequence grows with each statement of an instance.
+	Targets  []TargetLoad `cbor:"3,keyasint,omitempty"`
+}
+
+// TargetLoad is an instance's part of one target's load.
+type TargetLoad struct {
+	Target string `cbor:"1,keyasint"`
+	Flying int    `cbor:"2,keyasint"` // Flying counts the streams that run there.
+	Tokens int    `cbor:"3,keyasint"` // Tokens counts the prompt tokens that are not read yet.
+	Copies int    `cbor:"4,keyasint"` // Copies counts the copies of streams that are kept there.
 }
 
 // KindPage holds the changes of one kind up to a revision.
--- a/entry/feed/swap.go
+++ b/entry/feed/swap.go
@@ -30,9 +30,18 @@
 	View() member.View
 }
 
-// Swap exchanges the copies of feeds with peers.
+// Loads knows what all instances have running at targets.
+type Loads interface {
+	// Loads returns what is known of all instances, this one included.
+	Loads() []wire.Load
+	// Merge takes what a peer knows.
+	Merge(loads []wire.Load)
+}
+
+// Swap exchanges the copies of feeds, and the loads of targets, with peers.
 type Swap struct {
 	feeds  []*Feed
+	loads  Loads
 	net    peer.Net
 	log    log.Interface
 	heard  chan string
@@ -46,8 +55,8 @@
 }
 
 // NewSwap returns a swap that answers pulls; Start begins to pull.
-func NewSwap(net peer.Net, logger log.Interface, feeds ...*Feed) *Swap {
-	return &Swap{feeds: feeds, net: net, log: logger, heard: make(chan string, 1), done: make(chan struct{})}
+func NewSwap(net peer.Net, loads Loads, logger log.Interface, feeds ...*Feed) *Swap {
+	return &Swap{feeds: feeds, loads: loads, net: net, log: logger, heard: make(chan string, 1), done: make(chan struct{})}
 }
 
 // Start begins to pull from the members.
@@ -82,7 +91,8 @@
 
 // Handle answers a peer's pull.
 func (s *Swap) Handle(p wire.Pull) wire.Message {
-	var pages wire.Pages
+	s.loads.Merge(p.Loads)
+	pages := wire.Pages{Loads: s.loads.Loads()}
 	for _, mark := range p.Marks {
 		for _, f := range s.feeds {
 			if f.Kind() == mark.Kind {
@@ -140,7 +150,7 @@
 	ctx, cancel := context.WithTimeout(ctx, swapTimeout)
 	defer cancel()
 	began := time.Now()
-	var question wire.Pull
+	question := wire.Pull{Loads: s.loads.Loads()}
 	for _, f := range s.feeds {
 		question.Marks = append(question.Marks, wire.Mark{Kind: f.Kind(), At: f.View().At()})
 	}
@@ -150,6 +160,7 @@
 	if err != nil || !ok {
 		return false
 	}
+	s.loads.Merge(pages.Loads)
 	for _, p := range pages.Pages {
 		for _, f := range s.feeds {
 			if f.Kind() == p.Kind {
--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -22,6 +22,8 @@
 	silenceProbe  = 250 * time.Millisecond  // silenceProbe is the silence after which the target is probed; beside a prompt that is read in chunks, an event takes about 200 ms.
 	silenceShared = 120 * time.Millisecond  // silenceShared is that silence when another target of the failure domain was lost since.
 	firstProbe    = 1200 * time.Millisecond // firstProbe is the time between two probes before the first event; most prompts are read by then.
+	askAfter      = 2200 * time.Millisecond // askAfter is the wait for the first event after which the target is asked how far it has come; most prompts are read by then.
+	askTimeout    = 400 * time.Millisecond  // askTimeout bounds that question.
 	lookPeriod    = 40 * time.Millisecond   // lookPeriod is the time between two looks at a stream's silence.
 )
 
@@ -65,7 +67,7 @@
 	defer cancel(nil)
 	guard := newGuard(ctx, g, pick, source != send.Source{}, cancel)
 	defer guard.stop()
-	s := send.Send{Call: g.call, Target: pick.Target, Left: send.Left(g.call, g.request), After: g.last, Source: source}
+	s := send.Send{Call: g.call, Target: pick.Target, Left: time.Until(g.request.Deadline), After: g.last, Source: source}
 	var backup site.Target
 	if g.copies {
 		backup, _ = g.backupFor(pick.Target, "")
@@ -80,7 +82,11 @@
 	}
 	g.sends++
 	if backup.Name != "" {
-		g.copied.Store(&copied{holder: backup, source: send.Source{Address: backup.Address, Handle: g.call.ID}})
+		g.swapCopy(&copied{
+			holder:  backup,
+			source:  send.Source{Address: backup.Address, Handle: g.call.ID},
+			release: g.sender.Picker.Keep(backup),
+		})
 	}
 	if err != nil {
 		return broken{cause: g.cause(ctx, err)}
@@ -112,7 +118,7 @@
 	switch v := g.sender.Dialect.Judge(reply.Status(), reply.Header()).(type) {
 	case send.NotRun:
 		_, _ = reply.Whole() // The body says nothing; it is read so that the connection can be kept.
-		g.copied.Store(nil)
+		g.swapCopy(nil)
 		return unrun{sent: true, lost: v.Misdirected, cause: fmt.Sprintf("status %d", reply.Status())}
 	case send.Unsigned:
 		return broken{cause: fmt.Sprintf("response with status %d proves nothing", reply.Status())}
@@ -135,7 +141,7 @@
 	for {
 		e, err := stream.next()
 		switch {
-		case err == io.EOF && g.begun:
+		case err == io.EOF && g.begun.Load():
 			return complete{}
 		case err != nil:
 			return broken{cause: g.cause(ctx, err)}
@@ -157,7 +163,7 @@
 
 // noteResumed counts a stream that went on at another target.
 func (g *flight) noteResumed(source send.Source) {
-	if !g.begun {
+	if !g.begun.Load() {
 		return
 	}
 	g.resumed++
@@ -171,11 +177,11 @@
 
 // deliver sends one event to the caller.
 func (g *flight) deliver(head chain.Head, e event) error {
-	if !g.begun {
+	if !g.begun.Load() {
 		if err := g.request.Outlet.Begin(head); err != nil {
 			return err
 		}
-		g.begun = true
+		g.begun.Store(true)
 	}
 	if err := g.request.Outlet.Event(e.raw); err != nil {
 		return err
--- a/entry/flight/copy.go
+++ b/entry/flight/copy.go
@@ -64,15 +64,25 @@
 		d.sender.Log.WithFields(fields).WithField("status", status).Info("copy was not made")
 		return
 	}
-	next := &copied{holder: holder, source: send.Source{Address: runner.Address, Handle: handle}, ordered: began}
-	if d.flight.copied.CompareAndSwap(old, next) {
-		d.sender.Log.WithFields(fields).WithField("took-ms", time.Since(began).Milliseconds()).Debug("copy was made")
+	next := &copied{
+		holder:  holder,
+		source:  send.Source{Address: runner.Address, Handle: handle},
+		ordered: began,
+		release: d.sender.Picker.Keep(holder),
 	}
+	if !d.flight.copied.CompareAndSwap(old, next) {
+		next.release()
+		return
+	}
+	if old != nil {
+		old.release()
+	}
+	d.sender.Log.WithFields(fields).WithField("took-ms", time.Since(began).Milliseconds()).Debug("copy was made")
 }
 
 // dropCopy frees a copy that was ordered and is not needed any more.
 func (g *flight) dropCopy(ctx context.Context) {
-	c := g.copied.Swap(nil)
+	c := g.swapCopy(nil)
 	if c == nil || c.ordered.IsZero() {
 		return
 	}
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -38,9 +38,9 @@
 	unsent   int
 	resumed  int
 	events   int
-	last     string // last is the id of the last event that the caller has.
-	begun    bool   // begun tells that the caller has the head of the response.
-	ran      bool   // ran tells that a target may have run the request.
+	last     string      // last is the id of the last event that the caller has.
+	begun    atomic.Bool // begun tells that the caller has the head of the response.
+	ran      bool        // ran tells that a target may have run the request.
 	failure  *chain.Passed
 	copied   atomic.Pointer[copied] // copied is the copy of the run that began last, or nil.
 	sent     time.Time              // sent is when the last event was delivered.
@@ -53,11 +53,33 @@
 	holder  site.Target
 	source  send.Source
 	ordered time.Time // ordered is when the copy was ordered; zero for one that grows with its run.
+	release func()    // release counts the copy off.
 }
 
 // Run runs a stream until it is complete, refused or cut, or its caller has left.
 func Run(ctx context.Context, s *send.Sender, c chain.Call, f chain.Forward, policy site.Stream) chain.Answer {
-	return newFlight(s, c, f, policy).run(ctx)
+	ctx, cancel := context.WithDeadline(ctx, f.Deadline)
+	defer cancel()
+	g := newFlight(s, c, f, policy)
+	ctx, expire := context.WithCancelCause(ctx)
+	defer expire(nil)
+	if at, ok := send.Timeout(c, f); ok {
+		timer := time.AfterFunc(time.Until(at), func() {
+			if !g.begun.Load() {
+				expire(errTimeout)
+			}
+		})
+		defer timer.Stop()
+	}
+	return g.run(ctx)
+}
+
+// errTimeout ends a stream whose first event did not come within its route's timeout.
+var errTimeout = errors.New("the route's timeout passed before the first event")
+
+// inTime tells whether a stream that was ended had time left, so that its caller is gone.
+func inTime(ctx context.Context) bool {
+	return ctx.Err() == nil || !errors.Is(ctx.Err(), context.DeadlineExceeded) && !errors.Is(context.Cause(ctx), errTimeout)
 }
 
 // newFlight returns a stream that has not been sent.
@@ -98,13 +120,13 @@
 
 // choose returns the next target, and the copy to go on from if that target has one.
 func (g *flight) choose(ctx context.Context) (*picker.Pick, send.Source, bool) {
-	if c := g.copied.Swap(nil); c != nil {
+	if c := g.swapCopy(nil); c != nil {
 		if pick, ok := g.sender.Picker.Sound(c.holder); ok {
 			return pick, c.source, true
 		}
 	}
 	patience := targetWait
-	if g.begun {
+	if g.begun.Load() {
 		patience = resumeWait
 	}
 	until := time.Now().Add(patience)
@@ -131,11 +153,15 @@
 
 // judge decides what follows from the end of an attempt.
 func (g *flight) judge(ctx context.Context, pick *picker.Pick, result ending, began time.Time) (chain.Answer, bool) {
+	if _, done := result.(complete); !done && ctx.Err() != nil {
+		g.ran = g.ran || ranAt(result)
+		return g.giveUp(ctx, "time is up"), true
+	}
 	switch r := result.(type) {
 	case complete:
 		return chain.Finished{Events: g.events, Resumed: g.resumed, First: g.first, Pause: g.pause}, true
 	case refusedBy:
-		if !g.begun && !(r.passed.Head.Status >= 500 && g.policy.Resumable) {
+		if !g.begun.Load() && !(r.passed.Head.Status >= 500 && g.policy.Resumable) {
 			return r.passed, true
 		}
 		pick.Failed()
@@ -148,12 +174,7 @@
 		g.drop(pick, true, r.cause)
 	}
 	g.avoid[pick.Target.Name] = true
-	if _, ok := result.(unrun); !ok {
-		g.ran = true
-	}
-	if ctx.Err() != nil {
-		return g.giveUp(ctx, "time is up"), true
-	}
+	g.ran = g.ran || ranAt(result)
 	g.note(pick, result, began)
 	return g.again(result)
 }
@@ -166,6 +187,21 @@
 	return ""
 }
 
+// ranAt tells whether a target may have run the request.
+func ranAt(result ending) bool {
+	_, unran := result.(unrun)
+	return !unran
+}
+
+// swapCopy puts another copy in the place of the one there was, and returns that.
+func (g *flight) swapCopy(next *copied) *copied {
+	old := g.copied.Swap(next)
+	if old != nil {
+		old.release()
+	}
+	return old
+}
+
 // drop tells the picker of a failed attempt.
 func (g *flight) drop(pick *picker.Pick, lost bool, cause string) {
 	if lost {
@@ -200,7 +236,7 @@
 // conclude answers when the stream goes on nowhere.
 func (g *flight) conclude(reason string) chain.Answer {
 	switch {
-	case g.begun:
+	case g.begun.Load():
 		g.sender.Counts.Severed.Inc()
 		return chain.Severed{Reason: reason}
 	case g.failure != nil:
@@ -216,13 +252,12 @@
 
 // giveUp answers when time is up, the caller has left or no target is there.
 func (g *flight) giveUp(ctx context.Context, reason string) chain.Answer {
-	err := ctx.Err()
 	switch {
-	case err == nil:
+	case ctx.Err() == nil:
 		return g.conclude(reason)
-	case !errors.Is(err, context.DeadlineExceeded):
+	case inTime(ctx):
 		return chain.Left{}
-	case g.begun || g.failure != nil || !g.ran:
+	case g.begun.Load() || g.failure != nil || !g.ran:
 		return g.conclude(reason)
 	default:
 		return send.Unknown(deny.KindTimeout, "no event in time")
--- a/entry/flight/guard.go
+++ b/entry/flight/guard.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"bramleywharf.example/entry/link"
 	"bramleywharf.example/entry/picker"
 	"bramleywharf.example/entry/send"
 	"github.com/pkg/errors"
@@ -14,6 +15,7 @@
 var (
 	errSilent = errors.New("target fell silent")
 	errDark   = errors.New("target is silent and takes no connection")
+	errMissed = errors.New("target has made events that did not arrive, or does not have the request")
 )
 
 // guard ends an attempt whose target falls silent.
@@ -83,10 +85,42 @@
 		return nil
 	}
 	d.probed = now
-	err := d.sender.Link.Probe(ctx, d.pick.Target.Address)
-	if err != nil && ctx.Err() == nil && time.Duration(d.heard.Load()) == heard {
+	var err error
+	if heard == 0 && !d.copied && now > askAfter {
+		err = d.ask(ctx)
+	} else if d.sender.Link.Probe(ctx, d.pick.Target.Address) != nil {
+		err = errDark
+	}
+	if ctx.Err() != nil || time.Duration(d.heard.Load()) != heard {
+		return nil
+	}
+	return err
+}
+
+// ask asks the target how far the stream has come, and returns an error when its events are lost or it is not there.
+func (d *guard) ask(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply, err := d.sender.Link.Send(ctx, d.sender.Dialect.Ask(d.pick.Target))
+	var unsent *link.NotSentError
+	if errors.As(err, &unsent) {
 		return errDark
 	}
+	if err != nil {
+		return nil // A target that is slow to report may still be reading the prompt; the patience decides.
+	}
+	body, err := reply.Whole()
+	if err != nil {
+		return nil // As above.
+	}
+	p, err := d.sender.Dialect.Progress(d.flight.call.ID, body)
+	if err != nil {
+		d.sender.Log.WithError(err).WithField("target", d.pick.Target.Name).Info("report cannot be read")
+		return nil
+	}
+	if p.Events > 0 || p.Unnamed == 0 {
+		return errMissed
+	}
 	return nil
 }
 
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -165,12 +165,13 @@
 	if err != nil {
 		return err
 	}
+	i.picker.Name(self.Name, self.Incarnation)
 	joined := make(chan struct{})
 	i.peers, err = peer.NewQuic(self.PeerAddress, key, i.handlePeer(joined), i.set)
 	if err != nil {
 		return fmt.Errorf("start peer transport: %w", err)
 	}
-	i.swap = feed.NewSwap(i.peers, i.log, configs, servers)
+	i.swap = feed.NewSwap(i.peers, i.picker, i.log, configs, servers)
 	members := fleet.New(fleet.Settings{Self: self, Seeds: i.settings.Seeds, ListPeriod: listPeriod}, i.peers, i.borders.Join, i.swap, i.log, i.set)
 	i.fleet.Store(members)
 	close(joined)
--- a/entry/internal/boot/docs_test.go
+++ b/entry/internal/boot/docs_test.go
@@ -36,15 +36,15 @@
 	c := quicktest.New(t)
 	page, err := os.ReadFile(root + "docs/OPERATIONS.md")
 	c.Assert(err, quicktest.IsNil)
-	name := regexp.MustCompile(`"bramleywharf_[a-z_]+`)
+	name := regexp.MustCompile("[\"`]bramleywharf_[a-z_]+")
 	err = filepath.WalkDir(root, func(path string, d os.DirEntry, err error) error {
-		inProduct := strings.HasPrefix(path, root+"entry") || strings.HasPrefix(path, root+"core")
+		inProduct := strings.HasPrefix(path, root+"entry") || strings.HasPrefix(path, root+"core") || strings.HasPrefix(path, root+"platform")
 		if err != nil || d.IsDir() || !inProduct || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
 		source, err := os.ReadFile(path)
 		for _, metric := range name.FindAllString(string(source), -1) {
-			c.Check(string(page), quicktest.Contains, strings.Trim(metric, `"`), quicktest.Commentf("%s", path))
+			c.Check(string(page), quicktest.Contains, strings.Trim(metric, "\"`"), quicktest.Commentf("%s", path))
 		}
 		return err
 	})
--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -88,7 +88,9 @@
 		result := e.send(ctx, pick)
 		pick.Release()
 		e.avoid[pick.Target.Name] = true
-		e.note(pick, result)
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			e.note(pick, result)
+		}
 		if answer, done := e.judge(ctx, result); done {
 			return answer
 		}
@@ -186,7 +188,7 @@
 	if errors.As(err, &unsent) {
 		e.sender.Counts.Unsent.Inc()
 		e.unsent++
-		if ctx.Err() == nil || !errors.Is(ctx.Err(), context.Canceled) {
+		if !errors.Is(ctx.Err(), context.Canceled) {
 			pick.Lost(err.Error())
 		}
 		return notSent{err: err}
--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"bramleywharf.example/core/health"
@@ -15,6 +16,7 @@
 	explore       = 0.03                  // explore is the share of plain requests that go to a random sound target, so that a belief is renewed.
 	rankCost      = 0.5                   // rankCost is how many streams the next place in the order of a session outweighs.
 	readCost      = 1.0 / 8000            // readCost makes an unread prompt of 8,000 tokens count as much as a running stream.
+	copyCost      = 0.4                   // copyCost is how many streams a copy outweighs: it takes the memory of one and no time.
 	sessionWidth  = 4                     // sessionWidth is the number of targets that a session's streams are spread over.
 	suspectWeight = 1000                  // suspectWeight puts suspects behind every other target.
 )
@@ -25,6 +27,7 @@
 	state  *state
 	picker *Picker
 	prompt int
+	stream bool
 }
 
 // Want describes the request that a target is chosen for.
@@ -69,12 +72,15 @@
 	best, cost := 0, 0.0
 	for i, target := range order {
 		s := t.states[target.Name]
-		load := float64(s.flying.Load()) + readCost*float64(s.reading.Load()) + rankCost*float64(min(i, sessionWidth))
+		load := s.load() + rankCost*float64(min(i, sessionWidth))
 		if i == 0 || load < cost {
 			best, cost = i, load
 		}
 	}
-	return p.hold(t, order[best], w.Prompt), true
+	k := p.hold(t, order[best], w.Prompt)
+	k.stream = true
+	k.state.streams.Add(1)
+	return k, true
 }
 
 // Backup chooses the target that keeps a copy of a stream: the first in the order of its session outside a failure domain.
@@ -83,7 +89,7 @@
 	var best site.Target
 	found, cost := false, 0.0
 	for i, target := range ranked(w.Session, sound(t, w)) {
-		own := float64(t.states[target.Name].flying.Load()) + rankCost*float64(min(i, sessionWidth))
+		own := t.states[target.Name].load() + rankCost*float64(min(i, sessionWidth))
 		if target.Domain == domain {
 			own += suspectWeight
 		}
@@ -112,7 +118,20 @@
 	if !ok {
 		return nil, false
 	}
-	return p.hold(t, now, 0), true
+	k := p.hold(t, now, 0)
+	k.stream = true
+	k.state.streams.Add(1)
+	return k, true
+}
+
+// Keep counts a copy that a target keeps until release is called.
+func (p *Picker) Keep(target site.Target) (release func()) {
+	s, ok := p.table.Load().states[target.Name]
+	if !ok {
+		return func() {}
+	}
+	s.copies.Add(1)
+	return sync.OnceFunc(func() { s.copies.Add(-1) })
 }
 
 // hold counts a request on a target.
@@ -167,6 +186,9 @@
 func (k *Pick) Release() {
 	k.Read()
 	k.state.flying.Add(-1)
+	if k.stream {
+		k.state.streams.Add(-1)
+	}
 }
 
 // Succeeded notes a whole answer.
@@ -174,6 +196,14 @@
 	k.state.update(func(b health.Belief) health.Belief { return b.WithSuccess(time.Now(), took) })
 }
 
+// load returns what all instances have running at a target, in streams.
+func (s *state) load() float64 {
+	others := s.others.Load()
+	return float64(s.streams.Load()+int64(others.Flying)) +
+		readCost*float64(s.reading.Load()+int64(others.Tokens)) +
+		copyCost*float64(s.copies.Load()+int64(others.Copies))
+}
+
 // ranked returns targets in the order of a session, the same on every instance; without a session the order is random.
 func ranked(session string, targets []site.Target) []site.Target {
 	order := make([]site.Target, 0, len(targets))
--- /dev/null
+++ b/entry/picker/loads.go
@@ -0,0 +1,89 @@
+package picker
+
+import (
+	"time"
+
+	"bramleywharf.example/core/wire"
+)
+
+const (
+	loadLife       = 3 * time.Second // loadLife is the age from which what an instance said of its load is forgotten; it says so anew several times a second.
+	sequenceOfLife = 1 << 32         // sequenceOfLife is more than the statements of one start.
+)
+
+// statement is what an instance said of its load, and when it was heard here.
+type statement struct {
+	load  wire.Load
+	heard time.Time
+}
+
+// Loads returns what is known of all instances, this one included.
+func (p *Picker) Loads() []wire.Load {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sequence++
+	loads := []wire.Load{{Instance: p.name, Sequence: p.sequence, Targets: p.own()}}
+	for name, s := range p.heard {
+		if now.Sub(s.heard) > loadLife {
+			delete(p.heard, name)
+			continue
+		}
+		loads = append(loads, s.load)
+	}
+	return loads
+}
+
+// Merge takes what a peer knows, the newest statement of each instance.
+func (p *Picker) Merge(loads []wire.Load) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range loads {
+		if known, ok := p.heard[l.Instance]; l.Instance != p.name && (!ok || l.Sequence > known.load.Sequence) {
+			p.heard[l.Instance] = statement{load: l, heard: now}
+		}
+	}
+	p.spread(now)
+}
+
+// Name sets the name under which this instance states its load, and the number of its start.
+func (p *Picker) Name(name string, incarnation uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.name = name
+	p.sequence = incarnation * sequenceOfLife
+}
+
+// own returns this instance's load.
+func (p *Picker) own() []wire.TargetLoad {
+	var own []wire.TargetLoad
+	for name, s := range p.table.Load().states {
+		l := wire.TargetLoad{Target: name, Flying: int(s.streams.Load()), Tokens: int(s.reading.Load()), Copies: int(s.copies.Load())}
+		if l.Flying > 0 || l.Tokens > 0 || l.Copies > 0 {
+			own = append(own, l)
+		}
+	}
+	return own
+}
+
+// spread adds the loads of other instances up for each target.
+func (p *Picker) spread(now time.Time) {
+	sums := make(map[string]wire.TargetLoad)
+	for _, s := range p.heard {
+		if now.Sub(s.heard) > loadLife {
+			continue
+		}
+		for _, l := range s.load.Targets {
+			sum := sums[l.Target]
+			sum.Flying += l.Flying
+			sum.Tokens += l.Tokens
+			sum.Copies += l.Copies
+			sums[l.Target] = sum
+		}
+	}
+	for name, s := range p.table.Load().states {
+		sum := sums[name]
+		s.others.Store(&sum)
+	}
+}
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -9,6 +9,7 @@
 	"bramleywharf.example/core/cell"
 	"bramleywharf.example/core/health"
 	"bramleywharf.example/core/site"
+	"bramleywharf.example/core/wire"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 )
@@ -32,8 +33,11 @@
 type state struct {
 	started int64
 	address string
-	flying  atomic.Int64 // flying counts the requests of this instance that are running there.
-	reading atomic.Int64 // reading counts the prompt tokens that it has not read yet.
+	flying  atomic.Int64                    // flying counts the requests of this instance that are running there.
+	streams atomic.Int64                    // streams counts the streams among them.
+	reading atomic.Int64                    // reading counts the prompt tokens that it has not read yet.
+	copies  atomic.Int64                    // copies counts the copies of streams that this instance has kept there.
+	others  atomic.Pointer[wire.TargetLoad] // others is the load of all other instances.
 	belief  atomic.Pointer[health.Belief]
 }
 
@@ -54,6 +58,11 @@
 	dark   sync.Map // dark holds when a target of each failure domain was lost last, as a time.Time.
 	cancel context.CancelFunc
 	done   chan struct{}
+
+	mu       sync.Mutex
+	name     string
+	sequence uint64
+	heard    map[string]statement // heard holds the newest statement of each other instance.
 }
 
 // New returns a picker that follows its source.
@@ -64,6 +73,7 @@
 		log:    logger,
 		table:  cell.New(table{roster: (&site.Roster{}).WithTargets(nil, time.Now(), 0)}),
 		began:  time.Now(),
+		heard:  make(map[string]statement),
 		losses: set.GetOrCreateCounter("bramleywharf_targets_lost_total"),
 		done:   make(chan struct{}),
 	}
@@ -152,6 +162,7 @@
 		}
 		fresh := &state{started: target.Started, address: target.Address}
 		fresh.belief.Store(&health.Belief{})
+		fresh.others.Store(&wire.TargetLoad{})
 		next[target.Name] = fresh
 	}
 	return next
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -35,6 +35,12 @@
 	Handle  string // Handle names the copy there.
 }
 
+// Progress is what a target says of one request, as of some hundred milliseconds before.
+type Progress struct {
+	Events  int // Events counts the events made so far; a request whose prompt is being read has none.
+	Unnamed int // Unnamed counts the requests that wait there or whose prompt is being read.
+}
+
 // Verdict is the sealed set of what a response says of itself: Signed, NotRun and Unsigned.
 type Verdict interface {
 	isVerdict()
@@ -63,6 +69,10 @@
 	Copy(c chain.Call, runner, holder site.Target) link.Request
 	// Copied returns the handle of a copy from the response to such a call.
 	Copied(status int, body []byte) (handle string, ok bool)
+	// Ask returns the call that asks a target what it runs.
+	Ask(target site.Target) link.Request
+	// Progress returns how far a request has come at a target, by the response to that call.
+	Progress(id string, body []byte) (Progress, error)
 	// Drop returns the call that frees such a copy.
 	Drop(s Source) link.Request
 	// Judge returns what a response says of itself.
@@ -178,10 +188,8 @@
 // Limit returns when a call needs its final answer: at its route's timeout, and in time for its caller.
 func Limit(c chain.Call, f chain.Forward) time.Time {
 	at := f.Deadline.Add(-deadlineMargin)
-	if c.Route.Timeout > 0 {
-		if timeout := f.Received.Add(c.Route.Timeout); timeout.Before(at) {
-			at = timeout
-		}
+	if timeout, ok := Timeout(c, f); ok && timeout.Before(at) {
+		return timeout
 	}
 	return at
 }
@@ -189,14 +197,17 @@
 // Left returns how long a target may take.
 func Left(c chain.Call, f chain.Forward) time.Duration {
 	at := f.Deadline
-	if c.Route.Timeout > 0 {
-		if timeout := f.Received.Add(c.Route.Timeout); timeout.Before(at) {
-			at = timeout
-		}
+	if timeout, ok := Timeout(c, f); ok && timeout.Before(at) {
+		at = timeout
 	}
 	return time.Until(at)
 }
 
+// Timeout returns when the timeout of a call's route passes, if it has one. A stream that has begun keeps nobody waiting, so it bounds the wait for the first event alone.
+func Timeout(c chain.Call, f chain.Forward) (time.Time, bool) {
+	return f.Received.Add(c.Route.Timeout), c.Route.Timeout > 0
+}
+
 // Outgoing returns the message of one send.
 func (s *Sender) Outgoing(m Send, f chain.Forward, fresh bool) link.Request {
 	return link.Request{
