picker: places of sessions outlive their instances; ended targets are not tried again

Ruled out: stricter hashing (load), lists of cached parts (each priced as a probe, and they delay the engine), the id of 421 answers (it does not tell the service).

--- a/core/health/belief.go
+++ b/core/health/belief.go
@@ -20,6 +20,7 @@
 	at       time.Time
 	losses   int // losses counts the losses since the last sign of life.
 	until    time.Time
+	gone     bool // gone tells that another target answers at the address.
 }
 
 // Cost grows with the failures and the latency of a target; fallback stands in for a latency that is not known.
@@ -38,7 +39,18 @@
 
 // Suspect tells whether the target is avoided.
 func (b Belief) Suspect(now time.Time) bool {
-	return now.Before(b.until)
+	return b.gone || now.Before(b.until)
+}
+
+// Gone tells whether the target has ended for good.
+func (b Belief) Gone() bool {
+	return b.gone
+}
+
+// WithEnd returns the belief after another target answered at the address.
+func (b Belief) WithEnd() Belief {
+	b.gone = true
+	return b
 }
 
 // WithFailure returns the belief after a target failed a request by itself.
--- a/core/health/belief_test.go
+++ b/core/health/belief_test.go
@@ -21,6 +21,8 @@
 		"lost-at-once":     {Belief{}.WithLoss(start).WithLoss(start), suspectFirst, false},
 		"alive-again":      {Belief{}.WithLoss(start).WithLife(), 0, false},
 		"answered":         {Belief{}.WithLoss(start).WithSuccess(start, time.Millisecond), 0, false},
+		"ended":            {Belief{}.WithEnd(), time.Hour, true},
+		"ended-for-good":   {Belief{}.WithEnd().WithLife(), time.Hour, true},
 		"failed-by-itself": {Belief{}.WithFailure(start), 0, false},
 	}
 	for name, test := range cases {
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -136,13 +136,20 @@
 // Pull asks for what changed after the sender's marks.
 type Pull struct {
 	Marks []Mark `cbor:"1,keyasint"`
-	Loads []Load `cbor:"2,keyasint,omitempty"` // Loads holds what the sender knows of all instances.
+	Own   Load   `cbor:"2,keyasint"`           // Own is the sender's load.
+	Known []Said `cbor:"3,keyasint,omitempty"` // Known tells which statements of others the sender has.
+}
+
+// Said names the newest statement of an instance's load.
+type Said struct {
+	Instance string `cbor:"1,keyasint"`
+	Sequence uint64 `cbor:"2,keyasint"`
 }
 
 // Pages answers Pull with the changes of each kind.
 type Pages struct {
 	Pages []KindPage `cbor:"1,keyasint,omitempty"`
-	Loads []Load     `cbor:"2,keyasint,omitempty"` // Loads holds what the sender knows of all instances.
+	Loads []Load     `cbor:"2,keyasint,omitempty"` // Loads holds the statements that the asker lacks.
 }
 
 // Load is what one instance has running at targets.
@@ -150,6 +157,13 @@
 	Instance string       `cbor:"1,keyasint"`
 	Sequence uint64       `cbor:"2,keyasint"` // Sequence grows with each statement of an instance.
 	Targets  []TargetLoad `cbor:"3,keyasint,omitempty"`
+	Runs     []RunPlace   `cbor:"4,keyasint,omitempty"` // Runs tells where its streams run.
+}
+
+// RunPlace tells which target has read the prompt of a session.
+type RunPlace struct {
+	Session string `cbor:"1,keyasint"`
+	Target  string `cbor:"2,keyasint"`
 }
 
 // TargetLoad is an instance's part of one target's load.
--- a/entry/feed/swap.go
+++ b/entry/feed/swap.go
@@ -32,10 +32,14 @@
 
 // Loads knows what all instances have running at targets.
 type Loads interface {
-	// Loads returns what is known of all instances, this one included.
-	Loads() []wire.Load
-	// Merge takes what a peer knows.
+	// Known tells which statements of other instances are held.
+	Known() []wire.Said
+	// Merge takes statements.
 	Merge(loads []wire.Load)
+	// Newer returns the statements that a peer lacks.
+	Newer(known []wire.Said) []wire.Load
+	// Own returns a new statement of this instance.
+	Own() wire.Load
 }
 
 // Swap exchanges the copies of feeds, and the loads of targets, with peers.
@@ -91,8 +95,8 @@
 
 // Handle answers a peer's pull.
 func (s *Swap) Handle(p wire.Pull) wire.Message {
-	s.loads.Merge(p.Loads)
-	pages := wire.Pages{Loads: s.loads.Loads()}
+	s.loads.Merge([]wire.Load{p.Own})
+	pages := wire.Pages{Loads: s.loads.Newer(p.Known)}
 	for _, mark := range p.Marks {
 		for _, f := range s.feeds {
 			if f.Kind() == mark.Kind {
@@ -150,7 +154,7 @@
 	ctx, cancel := context.WithTimeout(ctx, swapTimeout)
 	defer cancel()
 	began := time.Now()
-	question := wire.Pull{Loads: s.loads.Loads()}
+	question := wire.Pull{Own: s.loads.Own(), Known: s.loads.Known()}
 	for _, f := range s.feeds {
 		question.Marks = append(question.Marks, wire.Mark{Kind: f.Kind(), At: f.View().At()})
 	}
--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -81,18 +81,11 @@
 		return unrun{lost: true, cause: err.Error()}
 	}
 	g.sends++
-	if backup.Name != "" {
-		g.swapCopy(&copied{
-			holder:  backup,
-			source:  send.Source{Address: backup.Address, Handle: g.call.ID},
-			release: g.sender.Picker.Keep(backup),
-		})
-	}
 	if err != nil {
 		return broken{cause: g.cause(ctx, err)}
 	}
 	defer reply.Close()
-	return g.read(ctx, pick, reply, guard, source)
+	return g.read(ctx, pick, reply, guard, s, backup)
 }
 
 // backupFor returns the target that keeps a copy of the stream while another runs it, other than one that has just refused.
@@ -114,12 +107,15 @@
 }
 
 // read takes the response of a target.
-func (g *flight) read(ctx context.Context, pick *picker.Pick, reply *link.Reply, guard *guard, source send.Source) ending {
+func (g *flight) read(ctx context.Context, pick *picker.Pick, reply *link.Reply, guard *guard, s send.Send, backup site.Target) ending {
 	switch v := g.sender.Dialect.Judge(reply.Status(), reply.Header()).(type) {
 	case send.NotRun:
 		_, _ = reply.Whole() // The body says nothing; it is read so that the connection can be kept.
 		g.swapCopy(nil)
-		return unrun{sent: true, lost: v.Misdirected, cause: fmt.Sprintf("status %d", reply.Status())}
+		if v.Misdirected {
+			pick.Gone()
+		}
+		return unrun{sent: true, cause: fmt.Sprintf("status %d", reply.Status())}
 	case send.Unsigned:
 		return broken{cause: fmt.Sprintf("response with status %d proves nothing", reply.Status())}
 	}
@@ -131,11 +127,11 @@
 		}
 		return refusedBy{passed: chain.Passed{Head: head, Body: body}}
 	}
-	return g.copyEvents(ctx, pick, reply, head, guard, source)
+	return g.copyEvents(ctx, pick, reply, head, guard, s, backup)
 }
 
 // copyEvents passes whole events on until the stream ends.
-func (g *flight) copyEvents(ctx context.Context, pick *picker.Pick, reply *link.Reply, head chain.Head, guard *guard, source send.Source) ending {
+func (g *flight) copyEvents(ctx context.Context, pick *picker.Pick, reply *link.Reply, head chain.Head, guard *guard, s send.Send, backup site.Target) ending {
 	stream := newEvents(reply)
 	first := true
 	for {
@@ -153,7 +149,8 @@
 			first = false
 			pick.Read()
 			pick.Heard()
-			g.noteResumed(source)
+			g.noteResumed(s.Source)
+			g.growCopy(backup)
 		}
 		if err := g.deliver(head, e); err != nil {
 			return unwanted{}
@@ -161,6 +158,18 @@
 	}
 }
 
+// growCopy notes the copy that grows with the run; engines make it from the first event on.
+func (g *flight) growCopy(holder site.Target) {
+	if holder.Name == "" {
+		return
+	}
+	g.swapCopy(&copied{
+		holder:  holder,
+		source:  send.Source{Address: holder.Address, Handle: g.call.ID},
+		release: g.sender.Picker.Keep(holder),
+	})
+}
+
 // noteResumed counts a stream that went on at another target.
 func (g *flight) noteResumed(source send.Source) {
 	if !g.begun.Load() {
--- a/entry/flight/copy.go
+++ b/entry/flight/copy.go
@@ -23,13 +23,12 @@
 	runner := d.pick.Target
 	c := d.flight.copied.Load()
 	sound := c != nil && d.sender.Picker.IsSound(c.holder)
-	if sound && (c.ordered.IsZero() || time.Since(c.ordered) < d.flight.copyLife) {
+	near := sound && c.holder.Domain == runner.Domain
+	if sound && !near && (c.ordered.IsZero() || time.Since(c.ordered) < d.flight.copyLife) {
 		return
 	}
-	var holder site.Target
-	if sound {
-		holder = c.holder
-	} else if holder, sound = d.flight.backupFor(runner, d.refused); !sound {
+	holder, found := d.holder(c, sound)
+	if !found {
 		return
 	}
 	d.ordered = time.Now()
@@ -40,6 +39,22 @@
 	}()
 }
 
+// holder returns the target that is to keep the next copy: another failure domain's, or that of the copy there is when it only grows old.
+func (d *guard) holder(c *copied, sound bool) (site.Target, bool) {
+	runner := d.pick.Target
+	if sound && c.holder.Domain != runner.Domain {
+		return c.holder, true
+	}
+	other, ok := d.flight.backupFor(runner, d.refused)
+	if !sound {
+		return other, ok
+	}
+	if ok && other.Domain != runner.Domain {
+		return other, true
+	}
+	return c.holder, !c.ordered.IsZero() && time.Since(c.ordered) >= d.flight.copyLife
+}
+
 // order has the runner of a stream copy it to a holder.
 func (d *guard) order(ctx context.Context, old *copied, runner, holder site.Target) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -121,7 +121,7 @@
 // choose returns the next target, and the copy to go on from if that target has one.
 func (g *flight) choose(ctx context.Context) (*picker.Pick, send.Source, bool) {
 	if c := g.swapCopy(nil); c != nil {
-		if pick, ok := g.sender.Picker.Sound(c.holder); ok {
+		if pick, ok := g.sender.Picker.Sound(c.holder, g.want()); ok {
 			return pick, c.source, true
 		}
 	}
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -55,6 +55,10 @@
 	Announce(ctx context.Context) (uint64, error)
 	// Secret returns what all instances share; the first one to start draws it.
 	Secret(ctx context.Context) ([]byte, error)
+	// Places returns what SavePlaces stored last.
+	Places(ctx context.Context) (map[string]string, error)
+	// SavePlaces stores where the sessions of all instances run.
+	SavePlaces(ctx context.Context, places map[string]string) error
 	// Withdraw removes the entry.
 	Withdraw(ctx context.Context) error
 }
@@ -165,6 +169,11 @@
 	if err != nil {
 		return err
 	}
+	if places, err := i.borders.Join.Places(ctx); err != nil {
+		i.log.WithError(err).Info("places of sessions are not known")
+	} else {
+		i.picker.Restore(places)
+	}
 	i.picker.Name(self.Name, self.Incarnation)
 	joined := make(chan struct{})
 	i.peers, err = peer.NewQuic(self.PeerAddress, key, i.handlePeer(joined), i.set)
@@ -176,6 +185,7 @@
 	i.fleet.Store(members)
 	close(joined)
 	i.swap.Start(members)
+	go i.savePlaces(ctx, members)
 	configs.Assign(members)
 	servers.Assign(members)
 	if err := i.learn(ctx, configs, servers); err != nil {
--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -219,7 +219,7 @@
 	switch v := e.sender.Dialect.Judge(status, reply.Header()).(type) {
 	case send.NotRun:
 		if v.Misdirected {
-			pick.Lost("another target has the address")
+			pick.Gone()
 		}
 		return notRun{status: status}
 	case send.Signed:
--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -17,17 +17,19 @@
 	rankCost      = 0.5                   // rankCost is how many streams the next place in the order of a session outweighs.
 	readCost      = 1.0 / 8000            // readCost makes an unread prompt of 8,000 tokens count as much as a running stream.
 	copyCost      = 0.4                   // copyCost is how many streams a copy outweighs: it takes the memory of one and no time.
+	placeGain     = 6                     // placeGain is how many streams the target outweighs that has read the session's prompt: reading 8,000 tokens again takes a second of its time and is dear.
 	sessionWidth  = 4                     // sessionWidth is the number of targets that a session's streams are spread over.
 	suspectWeight = 1000                  // suspectWeight puts suspects behind every other target.
 )
 
 // Pick is a target that was chosen, with one request counted there until Release.
 type Pick struct {
-	Target site.Target
-	state  *state
-	picker *Picker
-	prompt int
-	stream bool
+	Target  site.Target
+	state   *state
+	picker  *Picker
+	prompt  int
+	stream  bool
+	session string // session is that of a stream.
 }
 
 // Want describes the request that a target is chosen for.
@@ -69,18 +71,19 @@
 		return nil, false
 	}
 	order := ranked(w.Session, open)
+	before := p.placeOf(w.Session)
 	best, cost := 0, 0.0
 	for i, target := range order {
 		s := t.states[target.Name]
 		load := s.load() + rankCost*float64(min(i, sessionWidth))
+		if target.Name == before {
+			load -= placeGain
+		}
 		if i == 0 || load < cost {
 			best, cost = i, load
 		}
 	}
-	k := p.hold(t, order[best], w.Prompt)
-	k.stream = true
-	k.state.streams.Add(1)
-	return k, true
+	return p.fly(t, order[best], w), true
 }
 
 // Backup chooses the target that keeps a copy of a stream: the first in the order of its session outside a failure domain.
@@ -108,8 +111,8 @@
 		!t.states[target.Name].belief.Load().Suspect(time.Now())
 }
 
-// Sound holds a target if it is sound.
-func (p *Picker) Sound(target site.Target) (*Pick, bool) {
+// Sound holds a target for a stream if it is sound.
+func (p *Picker) Sound(target site.Target, w Want) (*Pick, bool) {
 	if !p.IsSound(target) {
 		return nil, false
 	}
@@ -118,10 +121,17 @@
 	if !ok {
 		return nil, false
 	}
-	k := p.hold(t, now, 0)
-	k.stream = true
+	w.Prompt = 0
+	return p.fly(t, now, w), true
+}
+
+// fly counts a stream on a target.
+func (p *Picker) fly(t table, target site.Target, w Want) *Pick {
+	k := p.hold(t, target, w.Prompt)
+	k.stream, k.session = true, w.Session
 	k.state.streams.Add(1)
-	return k, true
+	p.enter(w.Session, target.Name)
+	return k
 }
 
 // Keep counts a copy that a target keeps until release is called.
@@ -153,6 +163,14 @@
 	k.state.update(func(b health.Belief) health.Belief { return b.WithFailure(time.Now()) })
 }
 
+// Gone notes that another target answered at the address, so that this one has ended.
+func (k *Pick) Gone() {
+	if !k.state.belief.Load().Gone() {
+		k.picker.log.WithFields(log.Fields{"target": k.Target.Name, "address": k.Target.Address, "revision": k.Target.Revision}).Warn("another target has the address")
+	}
+	k.state.update(health.Belief.WithEnd)
+}
+
 // Heard notes a sign of life.
 func (k *Pick) Heard() {
 	if k.state.belief.Load().Suspect(time.Now()) {
@@ -188,6 +206,7 @@
 	k.state.flying.Add(-1)
 	if k.stream {
 		k.state.streams.Add(-1)
+		k.picker.exit(k.session, k.Target.Name)
 	}
 }
 
@@ -231,7 +250,7 @@
 	var healthy, rest []site.Target
 	for _, target := range t.roster.Open(w.Service) {
 		switch {
-		case w.Avoid[target.Name]:
+		case w.Avoid[target.Name] || t.states[target.Name].belief.Load().Gone():
 		case t.states[target.Name].belief.Load().Suspect(now):
 			rest = append(rest, target)
 		default:
--- a/entry/picker/loads.go
+++ b/entry/picker/loads.go
@@ -17,23 +17,46 @@
 	heard time.Time
 }
 
-// Loads returns what is known of all instances, this one included.
-func (p *Picker) Loads() []wire.Load {
+// Known tells which statements of other instances are held.
+func (p *Picker) Known() []wire.Said {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := make([]wire.Said, 0, len(p.heard))
+	for name, s := range p.heard {
+		known = append(known, wire.Said{Instance: name, Sequence: s.load.Sequence})
+	}
+	return known
+}
+
+// Newer returns the statements that a peer lacks, this instance's included.
+func (p *Picker) Newer(known []wire.Said) []wire.Load {
 	now := time.Now()
+	has := make(map[string]uint64, len(known))
+	for _, s := range known {
+		has[s.Instance] = s.Sequence
+	}
+	loads := []wire.Load{p.Own()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sequence++
-	loads := []wire.Load{{Instance: p.name, Sequence: p.sequence, Targets: p.own()}}
 	for name, s := range p.heard {
-		if now.Sub(s.heard) > loadLife {
+		switch {
+		case now.Sub(s.heard) > loadLife:
 			delete(p.heard, name)
-			continue
+		case s.load.Sequence > has[name]:
+			loads = append(loads, s.load)
 		}
-		loads = append(loads, s.load)
 	}
 	return loads
 }
 
+// Own returns a new statement of this instance's load.
+func (p *Picker) Own() wire.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sequence++
+	return wire.Load{Instance: p.name, Sequence: p.sequence, Targets: p.own(), Runs: p.ownRuns(time.Now())}
+}
+
 // Merge takes what a peer knows, the newest statement of each instance.
 func (p *Picker) Merge(loads []wire.Load) {
 	now := time.Now()
@@ -70,10 +93,14 @@
 // spread adds the loads of other instances up for each target.
 func (p *Picker) spread(now time.Time) {
 	sums := make(map[string]wire.TargetLoad)
+	p.elsewhere = make(map[string]string)
 	for _, s := range p.heard {
 		if now.Sub(s.heard) > loadLife {
 			continue
 		}
+		for _, r := range s.load.Runs {
+			p.elsewhere[r.Session] = r.Target
+		}
 		for _, l := range s.load.Targets {
 			sum := sums[l.Target]
 			sum.Flying += l.Flying
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -59,10 +59,12 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 
-	mu       sync.Mutex
-	name     string
-	sequence uint64
-	heard    map[string]statement // heard holds the newest statement of each other instance.
+	mu        sync.Mutex
+	name      string
+	sequence  uint64
+	heard     map[string]statement // heard holds the newest statement of each other instance.
+	places    map[string]place     // places holds where the sessions of this instance run.
+	elsewhere map[string]string    // elsewhere holds the targets of other instances\' sessions.
 }
 
 // New returns a picker that follows its source.
@@ -74,6 +76,7 @@
 		table:  cell.New(table{roster: (&site.Roster{}).WithTargets(nil, time.Now(), 0)}),
 		began:  time.Now(),
 		heard:  make(map[string]statement),
+		places: make(map[string]place),
 		losses: set.GetOrCreateCounter("bramleywharf_targets_lost_total"),
 		done:   make(chan struct{}),
 	}
--- /dev/null
+++ b/entry/picker/picker_test.go
@@ -0,0 +1,158 @@
+package picker
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bramleywharf.example/core/site"
+	"bramleywharf.example/core/wire"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/frankban/quicktest"
+)
+
+// fixed is a source that never changes.
+type fixed struct {
+	targets []site.Target
+	changed chan struct{}
+}
+
+// Changed returns a channel that never closes.
+func (f fixed) Changed() <-chan struct{} { return f.changed }
+
+// Settled tells that what is missing is gone.
+func (f fixed) Settled() bool { return true }
+
+// Targets returns the targets.
+func (f fixed) Targets() []site.Target { return f.targets }
+
+// newPicker returns a picker of three targets in two failure domains.
+func newPicker(t *testing.T) *Picker {
+	source := fixed{changed: make(chan struct{}), targets: []site.Target{
+		{Name: "a", Service: "s", Address: "1", Domain: "x", Revision: 1},
+		{Name: "b", Service: "s", Address: "2", Domain: "x", Revision: 2},
+		{Name: "c", Service: "s", Address: "3", Domain: "y", Revision: 3},
+	}}
+	p := New(source, func(string) {}, &log.Logger{Handler: discard.New()}, metrics.NewSet())
+	t.Cleanup(p.Close)
+	synctest.Wait()
+	p.Name("self", 1)
+	return p
+}
+
+// busy returns a statement of another instance that has streams at targets.
+func busy(sequence uint64, flying map[string]int) wire.Load {
+	l := wire.Load{Instance: "other", Sequence: sequence}
+	for name, n := range flying {
+		l.Targets = append(l.Targets, wire.TargetLoad{Target: name, Flying: n})
+	}
+	return l
+}
+
+func TestStreamChoice(t *testing.T) {
+	cases := map[string]struct {
+		prepare func(p *Picker)
+		avoid   map[string]bool
+		want    string // want is the chosen target, or empty when there is none.
+	}{
+		"others-load": {func(p *Picker) { p.Merge([]wire.Load{busy(1, map[string]int{"a": 9, "b": 9})}) }, nil, "c"},
+		"old-statement-ignored": {func(p *Picker) {
+			p.Merge([]wire.Load{busy(2, map[string]int{"a": 9, "b": 9})})
+			p.Merge([]wire.Load{busy(1, map[string]int{"c": 9})})
+		}, nil, "c"},
+		"statement-forgotten": {func(p *Picker) {
+			p.Merge([]wire.Load{busy(1, map[string]int{"c": 90})})
+			time.Sleep(loadLife + time.Second)
+			p.Merge([]wire.Load{{Instance: "third", Sequence: 1, Targets: []wire.TargetLoad{{Target: "a", Flying: 9}, {Target: "b", Flying: 9}}}})
+		}, nil, "c"},
+		"place-of-the-session": {func(p *Picker) { p.Restore(map[string]string{"session": "b"}) }, nil, "b"},
+		"place-of-a-peer": {func(p *Picker) {
+			p.Merge([]wire.Load{{Instance: "other", Sequence: 1, Runs: []wire.RunPlace{{Session: "session", Target: "a"}}}})
+		}, nil, "a"},
+		"place-is-overloaded": {func(p *Picker) {
+			p.Restore(map[string]string{"session": "b"})
+			p.Merge([]wire.Load{busy(1, map[string]int{"a": 9, "b": 30})})
+		}, nil, "c"},
+		"avoided":               {func(p *Picker) { p.Restore(map[string]string{"session": "b"}) }, map[string]bool{"a": true, "b": true}, "c"},
+		"all-avoided":           {func(*Picker) {}, map[string]bool{"a": true, "b": true, "c": true}, ""},
+		"suspect":               {func(p *Picker) { lose(p, "a"); lose(p, "b") }, nil, "c"},
+		"suspects-as-last-hope": {func(p *Picker) { lose(p, "a"); lose(p, "b"); lose(p, "c") }, map[string]bool{"a": true, "b": true}, "c"},
+		"ended-is-no-hope":      {func(p *Picker) { end(p, "a"); end(p, "b"); end(p, "c") }, nil, ""},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				time.Sleep(time.Millisecond)
+				p := newPicker(t)
+				test.prepare(p)
+				k, ok := p.Stream(Want{Service: "s", Session: "session", Prompt: 8000, Avoid: test.avoid})
+				quicktest.Assert(t, ok, quicktest.Equals, test.want != "")
+				if ok {
+					quicktest.Assert(t, k.Target.Name, quicktest.Equals, test.want)
+				}
+			})
+		})
+	}
+}
+
+// lose makes a target suspect.
+func lose(p *Picker, name string) {
+	k, _ := p.Sound(p.target(name), Want{})
+	k.Lost("test")
+	k.Release()
+}
+
+// end ends a target.
+func end(p *Picker, name string) {
+	k, _ := p.Sound(p.target(name), Want{})
+	k.Gone()
+	k.Release()
+}
+
+// target returns a target by name.
+func (p *Picker) target(name string) site.Target {
+	target, _ := p.table.Load().roster.Get(name)
+	return target
+}
+
+func TestBackup(t *testing.T) {
+	cases := map[string]struct {
+		domain string
+		avoid  map[string]bool
+		want   string
+	}{
+		"other-domain":      {"x", map[string]bool{"a": true}, "c"},
+		"same-domain-if-so": {"x", map[string]bool{"a": true, "c": true}, "b"},
+		"none":              {"x", map[string]bool{"a": true, "b": true, "c": true}, ""},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				time.Sleep(time.Millisecond)
+				p := newPicker(t)
+				target, ok := p.Backup(Want{Service: "s", Session: "session", Avoid: test.avoid}, test.domain)
+				quicktest.Assert(t, ok, quicktest.Equals, test.want != "")
+				quicktest.Assert(t, target.Name, quicktest.Equals, test.want)
+			})
+		})
+	}
+}
+
+// TestPlacesAreForgotten checks that a place outlives its run for a while and no longer.
+func TestPlacesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		time.Sleep(time.Millisecond)
+		p := newPicker(t)
+		k, _ := p.Stream(Want{Service: "s", Session: "session"})
+		time.Sleep(time.Hour)
+		quicktest.Assert(t, p.Own().Runs, quicktest.HasLen, 1)
+		k.Release()
+		time.Sleep(placeLife - time.Second)
+		quicktest.Assert(t, p.Own().Runs, quicktest.HasLen, 1)
+		time.Sleep(2 * time.Second)
+		quicktest.Assert(t, p.Own().Runs, quicktest.HasLen, 0)
+		quicktest.Assert(t, p.Own().Targets, quicktest.HasLen, 0)
+	})
+}
