feed: the loss of the instances that ask does not make targets doubtful

An instance that had not heard of the store for 2 s kept the vanished target for 1.8 s more, though the store had never been away. Change: the store counts as lost after 3 s; a vanished target is kept for 1.5 s.

--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -23,7 +23,7 @@
 	dutyKept    = 6 * time.Second         // dutyKept is how long an instance that stepped in goes on.
 	stepInFirst = 1400 * time.Millisecond // stepInFirst is the age from which more instances ask the store; news passes from those that do within 1.3 s.
 	stepInAll   = 1700 * time.Millisecond // stepInAll is the age from which all do.
-	lostAfter   = 2 * time.Second         // lostAfter is the age from which the store counts as lost.
+	lostAfter   = 3 * time.Second         // lostAfter is the age from which the store counts as lost; entries lapse after three heartbeats of 1.2 s, and the loss of those that ask is over by then.
 	settle      = 2 * time.Second         // settle is how long after the store's return entries may still be missing.
 )
 
--- a/entry/feed/feed_test.go
+++ b/entry/feed/feed_test.go
@@ -163,3 +163,32 @@
 		c.Assert(f.Settled(), quicktest.IsTrue)
 	})
 }
+
+// TestSettled checks which silences make missing entries doubtful: those in which entries may have lapsed, not the loss of the instances that ask.
+func TestSettled(t *testing.T) {
+	cases := map[string]struct {
+		gap  time.Duration
+		want bool
+	}{
+		"askers-lost":  {2500 * time.Millisecond, true},
+		"store-away":   {3500 * time.Millisecond, false},
+		"nothing-lost": {500 * time.Millisecond, true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				time.Sleep(time.Millisecond)
+				s := &source{page: mirror.Page{At: 5}}
+				f := New(Settings{Kind: "k", Pace: 100 * time.Millisecond}, s, &log.Logger{Handler: discard.New()}, metrics.NewSet())
+				defer f.Close()
+				f.Assign(duties{})
+				time.Sleep(time.Second)
+				s.set(func(s *source) { s.fail = errDown })
+				f.Confirm(0)
+				time.Sleep(test.gap)
+				f.Confirm(0)
+				quicktest.Assert(t, f.Settled(), quicktest.Equals, test.want)
+			})
+		})
+	}
+}
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -16,7 +16,7 @@
 
 const (
 	refresh   = 250 * time.Millisecond  // refresh is the time between two looks at targets that only lapsed.
-	keepLapse = 1800 * time.Millisecond // keepLapse is how long a target that vanished with the store is still used; entries are back within 2 s of its return.
+	keepLapse = 1500 * time.Millisecond // keepLapse is how long a target that vanished with the store is still used: a heartbeat and a little more; with the way of the news it stays below the 2 s in which a target that left must be free of new work.
 )
 
 // Source gives the declared targets.
