proof: a race in the tests of sheets

Change: tests that run beside restarts read the map by a locked method. Ruled out: a fault of the product; the trace names test code alone.

--- a/entry/internal/proof/generation_test.go
+++ b/entry/internal/proof/generation_test.go
@@ -68,7 +68,7 @@
 		"caller-leaves":             func(_ *world, c *caller) { c.leave() },
 		"instance-killed":           func(w *world, c *caller) { w.set(c.serving(), dead) },
 		"instance-paused":           func(w *world, c *caller) { pause(w, c.serving()) },
-		"instance-leaves":           func(w *world, c *caller) { w.nodes[c.serving()].Fleet.Leave() },
+		"instance-leaves":           func(w *world, c *caller) { w.node(c.serving()).Fleet.Leave() },
 		"instance-cut-from-engine":  func(w *world, c *caller) { sever(w, c.serving(), w.busyEngine().name) },
 		"instance-cut-from-peers": func(w *world, c *caller) {
 			for _, name := range w.names() {
--- a/entry/internal/proof/sheet_test.go
+++ b/entry/internal/proof/sheet_test.go
@@ -44,7 +44,7 @@
 			w.isolate("node-3", platformName, "node-4")
 			w.isolate("node-4", platformName, "node-3")
 		},
-		"leaves": func(w *world) { w.nodes["node-0"].Fleet.Leave() },
+		"leaves": func(w *world) { w.node("node-0").Fleet.Leave() },
 	}
 }
 
@@ -68,7 +68,7 @@
 // cutWatchers cuts every instance that watches from the platform.
 func (w *world) cutWatchers() {
 	for _, name := range w.names() {
-		if w.nodes[name].Fleet.Elected("watch", 3) {
+		if w.node(name).Fleet.Elected("watch", 3) {
 			sever(w, name, platformName)
 		}
 	}
@@ -89,7 +89,7 @@
 // watcher returns an instance that watches the platform.
 func (w *world) watcher() string {
 	for _, name := range w.names() {
-		if w.nodes[name].Fleet.Elected("watch", 3) {
+		if w.node(name).Fleet.Elected("watch", 3) {
 			return name
 		}
 	}
@@ -180,7 +180,7 @@
 		m.look()
 		wrong = m.wrong
 		for _, name := range w.names() {
-			if current, err := w.nodes[name].Watch.Current(); wrong == "" && err != nil {
+			if current, err := w.node(name).Watch.Current(); wrong == "" && err != nil {
 				wrong = fmt.Sprintf("%s still refuses after all is mended: %v, revision %d", name, err, current.Revision())
 			}
 		}
@@ -236,7 +236,7 @@
 		"restarted-while-platform-down": {disturb: func(w *world) { w.set(platformName, frozen); w.bounce("node-2") }, look: "node-2", serves: true},
 		"platform-down-after-three-left": {disturb: func(w *world) {
 			for _, name := range []string{"node-2", "node-3", "node-4"} {
-				w.nodes[name].Fleet.Leave()
+				w.node(name).Fleet.Leave()
 			}
 			time.Sleep(2 * time.Second)
 			for _, name := range []string{"node-2", "node-3", "node-4"} {
@@ -255,7 +255,7 @@
 				test.disturb(w)
 				time.Sleep(forceBound + 2*time.Second)
 				w.mu.Lock()
-				n := w.nodes[test.look]
+				n := w.node(test.look)
 				w.mu.Unlock()
 				_, err := n.Watch.Current()
 				quicktest.New(t).Assert(err == nil, quicktest.Equals, test.serves, quicktest.Commentf("%v", err))
--- a/entry/internal/proof/world_test.go
+++ b/entry/internal/proof/world_test.go
@@ -254,6 +254,13 @@
 	w.mu.Unlock()
 }
 
+// node returns the node that runs under a name now.
+func (w *world) node(name string) *node.Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[name]
+}
+
 // travel takes the time of a link.
 func (w *world) travel(ctx context.Context, from string) error {
 	select {
