--- a/lab/internal/cmds/root.go
+++ b/lab/internal/cmds/root.go
@@ -16,6 +16,6 @@
 		Use:   "lab",
 		Short: "Drive, break and measure bramleywharf",
 	}
-	root.AddCommand(newBench(), newDemo(), newModel(), newSlopes())
+	root.AddCommand(newBench(), newDemo(), newModel(), newSlopes(), newSoak())
 	return root
 }
--- /dev/null
+++ b/lab/internal/soak/world.go
@@ -0,0 +1,272 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"bramleywharf.example/platform/stand"
+)
+
+const (
+	callerPort = 18080
+	readyPort  = 18081
+	lookupPort = 18082
+	peerPort   = 17340
+	zones      = 3
+	eventPace  = 15 * time.Millisecond
+	graceTime  = 4 // graceTime is the time between SIGTERM and SIGKILL, in seconds.
+)
+
+// world holds the stand-ins, the proxies and the processes of a run.
+type world struct {
+	settings Settings
+	dir      string
+	store    *stand.Store
+	ledger   *stand.Ledger
+	doors    []*Proxy
+	hosts    []*process
+
+	mu      sync.Mutex
+	targets []*target
+	number  int
+	version int
+	revoked time.Time
+}
+
+// target is a stand-in with the proxy before it.
+type target struct {
+	*stand.Target
+	proxy   *Proxy
+	service string
+	left    time.Time // left is when the target said that it leaves, or zero.
+}
+
+// newWorld starts stand-ins and processes.
+func newWorld(s Settings) (*world, error) {
+	w := &world{settings: s, store: stand.NewStore(), ledger: stand.NewLedger()}
+	var err error
+	if w.dir, err = os.MkdirTemp("", "soak"); err != nil {
+		return nil, fmt.Errorf("make a directory for settings: %w", err)
+	}
+	w.configure()
+	for i := range s.Targets {
+		if err := w.addTarget([]string{"plain", "engine", "engine"}[i%3]); err != nil {
+			return nil, err
+		}
+	}
+	for i := range s.Instances {
+		if err := w.addHost(i); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// addHost starts an instance with a way to the store of its own.
+func (w *world) addHost(i int) error {
+	name := fmt.Sprintf("soak-%d", i)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("listen for the store: %w", err)
+	}
+	go func() { _ = http.Serve(listener, w.store.Door(name)) }()
+	door, err := NewProxy(listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	w.doors = append(w.doors, door)
+	p := &process{name: name, ip: fmt.Sprintf("127.0.%d.%d", w.settings.Network, i+1), program: w.settings.Program, file: filepath.Join(w.dir, name+".toml"), log: filepath.Join(w.dir, name+".log")}
+	if err := os.WriteFile(p.file, []byte(settingsFile(p, i, door.Address())), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	w.hosts = append(w.hosts, p)
+	return p.start()
+}
+
+// addTarget starts a target and declares it.
+func (w *world) addTarget(service string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.number++
+	t, err := stand.NewTarget(fmt.Sprintf("%s-%d", service, w.number), w.ledger, conduct(service, ""))
+	if err != nil {
+		return err
+	}
+	proxy, err := NewProxy(t.Address)
+	if err != nil {
+		return err
+	}
+	t.Address = proxy.Address()
+	w.targets = append(w.targets, &target{Target: t, proxy: proxy, service: service})
+	w.store.Put("servers", t.Name, t.Entry(service, fmt.Sprintf("z%d", w.number%zones), "ready"))
+	return nil
+}
+
+// close ends processes, by their ids, and stand-ins.
+func (w *world) close() {
+	for _, h := range w.hosts {
+		h.end()
+	}
+	for _, t := range w.targets {
+		t.Close()
+		t.proxy.Close()
+	}
+	for _, d := range w.doors {
+		d.Close()
+	}
+}
+
+// configure writes the next version, whose only key carries its number.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	route := func(name, kind, service string, attempts int) map[string]any {
+		return map[string]any{
+			"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "kind": kind, "service": service, "timeout_ms": 5000,
+			"target_latency_ms": 500, "max_attempts": attempts, "priority": 1, "resumable": kind == "streaming", "gap_aim_ms": 700,
+		}
+	}
+	w.store.Put("config", "main", map[string]any{
+		"version": w.version,
+		"routes":  []any{route("once", "non_idempotent", "plain", 1), route("again", "idempotent", "plain", 2), route("stream", "streaming", "engine", 5)},
+		"services": []any{
+			map[string]any{"name": "plain", "max_connections": 100},
+			map[string]any{"name": "engine", "max_connections": 100, "engine": map[string]any{"slots": 64, "backups": true, "handle_s": 4.0}},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "shop", "api_keys": []string{fmt.Sprint("key-", w.version)}}},
+	})
+	w.revoked = time.Now()
+}
+
+// key returns the key in force and when it came into force at the store.
+func (w *world) key() (string, time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return fmt.Sprint("key-", w.version), w.revoked
+}
+
+// apply does what an event says and undoes it after its length.
+func (w *world) apply(ctx context.Context, e Event) {
+	heal := func() {}
+	switch f := e.Fault.(type) {
+	case Signal:
+		w.hosts[e.Thing%len(w.hosts)].signal(ctx, f, e.Length)
+		return
+	case StoreFault:
+		heal = w.failStore(f, w.hosts[e.Thing%len(w.hosts)].name)
+	case LinkFault:
+		proxy := w.doors[e.Thing%len(w.doors)]
+		if t := w.pick(e.Thing); !f.Store && t != nil {
+			proxy = t.proxy
+		}
+		proxy.Set(f.Mode)
+		heal = func() { proxy.Set(Clear) }
+	case Conduct:
+		t := w.pick(e.Thing)
+		t.Behave(conduct(t.service, f.Name))
+		heal = func() { t.Behave(conduct(t.service, "")) }
+	case Revoke:
+		w.configure()
+	case Replace:
+		w.replace(ctx, e.Thing, f.Notice)
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(e.Length):
+	}
+	heal()
+}
+
+// failStore fails the store for one instance or all, and returns what mends it.
+func (w *world) failStore(f StoreFault, door string) (heal func()) {
+	if f.Deafen {
+		w.store.Deafen(true)
+		return func() {
+			w.store.Forget()
+			w.store.Deafen(false)
+		}
+	}
+	if f.All {
+		door = ""
+	}
+	w.store.Fail(door, f.Fault)
+	return func() { w.store.Fail(door, stand.Sound) }
+}
+
+// pick returns a target by a number.
+func (w *world) pick(number int) *target {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.targets[number%len(w.targets)]
+}
+
+// replace ends a target and starts another of its service.
+func (w *world) replace(ctx context.Context, number int, notice bool) {
+	t := w.pick(number)
+	if err := w.addTarget(t.service); err != nil {
+		return
+	}
+	w.mu.Lock()
+	for i := range w.targets {
+		if w.targets[i] == t {
+			w.targets = append(w.targets[:i:i], w.targets[i+1:]...)
+			break
+		}
+	}
+	w.mu.Unlock()
+	if notice {
+		w.store.Put("servers", t.Name, t.Entry(t.service, "z0", "draining"))
+		select {
+		case <-ctx.Done():
+		case <-time.After(longest):
+		}
+	}
+	t.Close()
+	t.proxy.Close()
+	w.store.Delete("servers", t.Name)
+}
+
+// conduct returns the behaviour of a target of a service.
+func conduct(service, name string) stand.Behaviour {
+	b := stand.Behaviour{Delay: 5 * time.Millisecond}
+	if service == "engine" {
+		b.Events, b.Pace = 60, eventPace
+	}
+	switch name {
+	case "cut":
+		b.CutAt = 20
+	case "mute":
+		b.MuteAt = 20
+	case "reset":
+		b.Reset = true
+	case "shed":
+		b.Shed = true
+	case "stray":
+		b.Stray = service == "plain"
+	case "short":
+		b.Short = service == "plain"
+	case "failed":
+		b.Status, b.Events = 500, 0
+	}
+	return b
+}
+
+// settingsFile returns the settings of an instance.
+func settingsFile(p *process, i int, store string) string {
+	address := func(port int) string { return fmt.Sprintf("%s:%d", p.ip, port) }
+	return strings.Join([]string{
+		fmt.Sprintf("node_name = %q\nip = %q\nzone = \"z%d\"\ninternal_ports = [%d, %d]\nheartbeat_ms = 1200", p.name, p.ip, i%zones, peerPort, peerPort),
+		fmt.Sprintf("[listen]\nfront = %q\nreadiness = %q\ndirectory = %q", address(callerPort), address(readyPort), address(lookupPort)),
+		fmt.Sprintf("[bounds]\ndrain_ms = 2000\ngrace_s = %d\nttl_max_s = 5\nretry_budget_ratio = 0.8\nbudget_slack = 150", graceTime),
+		fmt.Sprintf("[platform]\naddress = %q\nform = \"objects\"\n", store),
+	}, "\n")
+}
