feed: news in levels for larger fleets; picker: copies only where there is room; wharfctl explain

Change: each instance pulls from those before it in the order, eight from one, the own failure domain first; ages that count as old grow with the levels; larger fleets exchange loads at each third pull; a target takes copies up to three quarters of its memory. wharfctl explain tells a request's story from logs. The soak waits for its processes. Ruled out: more instances that ask (calls); learning ids from 421 answers (they do not tell the service).

--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -136,7 +136,8 @@
 // Pull asks for what changed after the sender's marks.
 type Pull struct {
 	Marks []Mark `cbor:"1,keyasint"`
-	Own   Load   `cbor:"2,keyasint"`           // Own is the sender's load.
+	Loads bool   `cbor:"4,keyasint,omitempty"` // Loads asks for the loads of targets too.
+	Own   Load   `cbor:"2,keyasint,omitempty"` // Own is the sender's load.
 	Known []Said `cbor:"3,keyasint,omitempty"` // Known tells which statements of others the sender has.
 }
 
--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -21,8 +21,9 @@
 	backoffMax  = 600 * time.Millisecond  // backoffMax bounds that wait, so that a store that returns is noticed well within two seconds.
 	dutyPause   = 100 * time.Millisecond  // dutyPause is the time between two looks at one's duty.
 	dutyKept    = 6 * time.Second         // dutyKept is how long an instance that stepped in goes on.
-	stepInFirst = 1400 * time.Millisecond // stepInFirst is the age from which more instances ask the store; news passes from those that do within 1.3 s.
+	stepInFirst = 1400 * time.Millisecond // stepInFirst is the age from which more instances ask the store; in a small fleet news passes from those that do within 1.3 s.
 	stepInAll   = 1700 * time.Millisecond // stepInAll is the age from which all do.
+	perLevel    = 400 * time.Millisecond  // perLevel is added to both for each level of pulls between an instance and those that ask.
 	lostAfter   = 3 * time.Second         // lostAfter is the age from which the store counts as lost; entries lapse after three heartbeats of 1.2 s, and the loss of those that ask is over by then.
 	settle      = 2 * time.Second         // settle is how long after the store's return entries may still be missing.
 )
@@ -44,6 +45,8 @@
 	Elected(role string, count int) bool
 	// Push tells other members at once that there is news.
 	Push()
+	// Size returns the number of instances.
+	Size() int
 }
 
 // Settings configures a feed.
@@ -182,7 +185,7 @@
 		return true, kept
 	}
 	now := time.Now()
-	age := f.Age()
+	age := f.Age() - time.Duration(levels((*d).Size())-1)*perLevel
 	if age > stepInAll || age > stepInFirst && (*d).Elected(role, 2*watchers) {
 		if now.After(kept) {
 			f.log.WithFields(log.Fields{"age-ms": age.Milliseconds(), "revision": f.View().At()}).Info("steps in to ask the store")
@@ -192,6 +195,15 @@
 	return now.Before(kept), kept
 }
 
+// levels returns how often news is passed on until it has reached every instance of a fleet, at the most.
+func levels(size int) int {
+	count := 1
+	for reached := watchers * fanOut; reached < size; reached *= fanOut {
+		count++
+	}
+	return count
+}
+
 // loop lists and then watches while it is this instance's duty, again from the list when the history is gone.
 func (f *Feed) loop(ctx context.Context) {
 	s := asker{feed: f, pause: backoffBase}
--- a/entry/feed/feed_test.go
+++ b/entry/feed/feed_test.go
@@ -87,6 +87,9 @@
 	return d.first || d.all && count > watchers
 }
 
+// Size returns that of a small fleet.
+func (d duties) Size() int { return 7 }
+
 // Push does nothing.
 func (d duties) Push() {}
 
@@ -192,3 +195,18 @@
 		})
 	}
 }
+
+func TestLevels(t *testing.T) {
+	cases := map[string]struct{ size, want int }{
+		"alone":       {1, 1},
+		"today":       {7, 1},
+		"one-level":   {16, 1},
+		"two-levels":  {89, 2},
+		"design-size": {410, 3},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			quicktest.Assert(t, levels(test.size), quicktest.Equals, test.want)
+		})
+	}
+}
--- a/entry/feed/swap.go
+++ b/entry/feed/swap.go
@@ -18,7 +18,9 @@
 
 const (
 	swapPeriod  = 400 * time.Millisecond // swapPeriod is the time between two pulls; news that was not pushed passes an instance in that time.
-	randomTurn  = 3                      // randomTurn is how often a pull goes to any member and not to one that asks the store.
+	fanOut      = 8                      // fanOut is the number of instances that pull from one: 20 pulls a second take about one in a hundred of a small machine's time.
+	smallFleet  = 16                     // smallFleet is the size up to which loads are exchanged at each pull.
+	loadTurn    = 3                      // loadTurn is how often a pull of a larger fleet exchanges loads.
 	swapTimeout = 500 * time.Millisecond // swapTimeout bounds one pull.
 )
 
@@ -53,6 +55,7 @@
 	done   chan struct{}
 
 	turn int // turn counts the pulls.
+	size int // size is the number of live members at the last pull.
 
 	mu     sync.Mutex
 	oldest bool // oldest tells that pulls fail, so that one line is logged for a series.
@@ -95,8 +98,11 @@
 
 // Handle answers a peer's pull.
 func (s *Swap) Handle(p wire.Pull) wire.Message {
-	s.loads.Merge([]wire.Load{p.Own})
-	pages := wire.Pages{Loads: s.loads.Newer(p.Known)}
+	var pages wire.Pages
+	if p.Loads {
+		s.loads.Merge([]wire.Load{p.Own})
+		pages.Loads = s.loads.Newer(p.Known)
+	}
 	for _, mark := range p.Marks {
 		for _, f := range s.feeds {
 			if f.Kind() == mark.Kind {
@@ -154,7 +160,10 @@
 	ctx, cancel := context.WithTimeout(ctx, swapTimeout)
 	defer cancel()
 	began := time.Now()
-	question := wire.Pull{Own: s.loads.Own(), Known: s.loads.Known()}
+	var question wire.Pull
+	if s.size <= smallFleet || s.turn%loadTurn == 0 {
+		question.Loads, question.Own, question.Known = true, s.loads.Own(), s.loads.Known()
+	}
 	for _, f := range s.feeds {
 		question.Marks = append(question.Marks, wire.Mark{Kind: f.Kind(), At: f.View().At()})
 	}
@@ -191,9 +200,9 @@
 	s.log.WithField("peer", address).Info("pulls from peers work again")
 }
 
-// another returns the address of a member to pull from: of one that asks the store, or in turn of any.
+// another returns the address of a member to pull from: one of those before it in the order of a kind, which begins with those that ask the store.
 func (s *Swap) another(members Members) (string, bool) {
-	self := members.Self().Name
+	self := members.Self()
 	var live []string
 	for _, m := range members.View().Live() {
 		if m.State == member.Alive && m.Incarnation > 0 {
@@ -201,19 +210,30 @@
 		}
 	}
 	s.turn++
-	if s.turn%randomTurn != 0 {
-		kind := s.feeds[s.turn%len(s.feeds)].Kind()
-		live = route.Rank("feed/"+kind, live)
-		live = live[:min(watchers, len(live))]
-	}
-	live = slices.DeleteFunc(live, func(name string) bool { return name == self })
-	if len(live) == 0 {
+	s.size = len(live)
+	order := route.Rank("feed/"+s.feeds[s.turn%len(s.feeds)].Kind(), live)
+	place := slices.Index(order, self.Name)
+	above := order[:min(max(watchers, (place+fanOut-1)/fanOut), len(order))]
+	above = slices.DeleteFunc(slices.Clone(above), func(name string) bool { return name == self.Name })
+	if len(above) == 0 {
 		return "", false
 	}
-	m, ok := members.View().Get(live[rand.IntN(len(live))])
+	m, ok := members.View().Get(nearest(members.View(), self.Domain, above))
 	return m.PeerAddress, ok
 }
 
+// nearest returns a random name of the own failure domain, since bytes between domains are paid for, or any when there is none.
+func nearest(view member.View, domain string, names []string) string {
+	near := slices.DeleteFunc(slices.Clone(names), func(name string) bool {
+		m, _ := view.Get(name)
+		return m.Domain != domain
+	})
+	if len(near) == 0 {
+		near = names
+	}
+	return near[rand.IntN(len(near))]
+}
+
 // decode returns the page of a message.
 func decode(p wire.KindPage) mirror.Page {
 	page := mirror.Page{At: p.At}
--- a/entry/fleet/loop.go
+++ b/entry/fleet/loop.go
@@ -46,6 +46,11 @@
 	return alive*2 > view.Expected()
 }
 
+// Size returns the number of members that are not dead.
+func (f *Fleet) Size() int {
+	return len(f.View().Live())
+}
+
 // loop reconciles the view with what probes find.
 func (f *Fleet) loop(ctx context.Context) {
 	f.join(ctx)
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -32,6 +32,7 @@
 	policy   site.Stream
 	service  string
 	copies   bool          // copies tells that targets keep copies for each other.
+	memory   int           // memory is the capacity of one target in tokens, or 0.
 	copyLife time.Duration // copyLife is the age at which a copy that was ordered is ordered again.
 	avoid    map[string]bool
 	sends    int
@@ -95,6 +96,7 @@
 	}
 	if service, ok := c.Site.Service(g.service); ok && service.Engine != nil {
 		g.copies = service.Engine.Copies
+		g.memory = service.Engine.Memory
 		g.copyLife = time.Duration(copyLife * float64(service.Engine.Keep))
 	}
 	return g
@@ -148,7 +150,7 @@
 	if session == "" {
 		session = g.call.ID
 	}
-	return picker.Want{Service: g.service, Session: session, Prompt: g.request.Prompt, Avoid: g.avoid}
+	return picker.Want{Service: g.service, Session: session, Prompt: g.request.Prompt, Memory: g.memory, Avoid: g.avoid}
 }
 
 // judge decides what follows from the end of an attempt.
--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -18,6 +18,7 @@
 	readCost      = 1.0 / 8000            // readCost makes an unread prompt of 8,000 tokens count as much as a running stream.
 	copyCost      = 0.4                   // copyCost is how many streams a copy outweighs: it takes the memory of one and no time.
 	placeGain     = 6                     // placeGain is how many streams the target outweighs that has read the session's prompt: reading 8,000 tokens again takes a second of its time and is dear.
+	copyRoom      = 0.75                  // copyRoom is the part of a target's memory up to which it takes copies.
 	sessionWidth  = 4                     // sessionWidth is the number of targets that a session's streams are spread over.
 	suspectWeight = 1000                  // suspectWeight puts suspects behind every other target.
 )
@@ -37,6 +38,7 @@
 	Service string
 	Session string // Session makes the same order of targets on every instance, or is empty.
 	Prompt  int    // Prompt is the number of tokens to be read, or 0.
+	Memory  int    // Memory is the capacity of one target in tokens, or 0.
 	Avoid   map[string]bool
 }
 
@@ -92,6 +94,9 @@
 	var best site.Target
 	found, cost := false, 0.0
 	for i, target := range ranked(w.Session, sound(t, w)) {
+		if !t.states[target.Name].roomy(w) {
+			continue
+		}
 		own := t.states[target.Name].load() + rankCost*float64(min(i, sessionWidth))
 		if target.Domain == domain {
 			own += suspectWeight
@@ -223,6 +228,16 @@
 		copyCost*float64(s.copies.Load()+int64(others.Copies))
 }
 
+// roomy tells whether a target has room for one more copy; when memory runs short, copies would make runs wait.
+func (s *state) roomy(w Want) bool {
+	if w.Memory == 0 || w.Prompt == 0 {
+		return true
+	}
+	others := s.others.Load()
+	held := s.streams.Load() + s.copies.Load() + int64(others.Flying+others.Copies) + 1
+	return float64(held*int64(w.Prompt)) <= copyRoom*float64(w.Memory)
+}
+
 // ranked returns targets in the order of a session, the same on every instance; without a session the order is random.
 func ranked(session string, targets []site.Target) []site.Target {
 	order := make([]site.Target, 0, len(targets))
--- a/entry/picker/picker_test.go
+++ b/entry/picker/picker_test.go
@@ -132,7 +132,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				time.Sleep(time.Millisecond)
 				p := newPicker(t)
-				target, ok := p.Backup(Want{Service: "s", Session: "session", Avoid: test.avoid}, test.domain)
+				if test.domain == "full" {
+					p.Merge([]wire.Load{busy(1, map[string]int{"c": 8})})
+				}
+				target, ok := p.Backup(Want{Service: "s", Session: "session", Prompt: 8000, Memory: 88000, Avoid: test.avoid}, test.domain)
 				quicktest.Assert(t, ok, quicktest.Equals, test.want != "")
 				quicktest.Assert(t, target.Name, quicktest.Equals, test.want)
 			})
--- a/lab/internal/soak/process.go
+++ b/lab/internal/soak/process.go
@@ -21,8 +21,9 @@
 	command *exec.Cmd
 	ended   bool
 	starts  int
-	strange []string // strange lists ends that nobody asked for.
-	asked   bool     // asked tells that the running process was told to end.
+	strange []string      // strange lists ends that nobody asked for.
+	asked   bool          // asked tells that the running process was told to end.
+	done    chan struct{} // done closes when the last process has ended.
 }
 
 // start starts the process.
@@ -55,6 +56,7 @@
 	ended := p.ended
 	p.mu.Unlock()
 	if ended {
+		close(p.done)
 		return
 	}
 	time.Sleep(restartPause)
@@ -62,6 +64,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.strange = append(p.strange, err.Error())
+		close(p.done)
 	}
 }
 
@@ -96,11 +99,17 @@
 	}
 }
 
-// end ends the process for good.
+// end ends the process for good and waits until it has ended, so that the next run finds its addresses free.
 func (p *process) end() {
 	p.mu.Lock()
 	p.ended = true
 	p.mu.Unlock()
-	p.send(syscall.SIGCONT, false)
-	p.send(syscall.SIGKILL, true)
+	for {
+		p.send(syscall.SIGKILL, true)
+		select {
+		case <-p.done:
+			return
+		case <-time.After(restartPause):
+		}
+	}
 }
--- a/lab/internal/soak/world.go
+++ b/lab/internal/soak/world.go
@@ -82,7 +82,7 @@
 		return err
 	}
 	w.doors = append(w.doors, door)
-	p := &process{name: name, ip: fmt.Sprintf("127.0.%d.%d", w.settings.Network, i+1), program: w.settings.Program, file: filepath.Join(w.dir, name+".toml"), log: filepath.Join(w.dir, name+".log")}
+	p := &process{done: make(chan struct{}), name: name, ip: fmt.Sprintf("127.0.%d.%d", w.settings.Network, i+1), program: w.settings.Program, file: filepath.Join(w.dir, name+".toml"), log: filepath.Join(w.dir, name+".log")}
 	if err := os.WriteFile(p.file, []byte(settingsFile(p, i, door.Address())), 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
--- a/wharfctl/internal/cmds/root.go
+++ b/wharfctl/internal/cmds/root.go
@@ -104,7 +104,7 @@
 	flags.StringVar(&a.operatorKey, "operator-key", "", "key that instances know operators by")
 	flags.StringVar(&a.output, "output", formatTable, "table for people or json for programs")
 	flags.StringVar(&a.who, "as", os.Getenv("USER"), "name that the audit trail records")
-	root.AddCommand(newApply(a), newDrain(a), newHash(a), newSheet(a), newStatus(a))
+	root.AddCommand(newApply(a), newDrain(a), newExplain(a), newHash(a), newSheet(a), newStatus(a))
 	return root
 }
 
