retry: repeats beyond an instance's share while the fleet is far below its bound

Change: instances tell each other what they sent lately; below half of the fleet's bound an instance may go to four times its share. Ruled out: a larger slack for each, which passes the bound when all use it.

--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -159,6 +159,14 @@
 	Sequence uint64       `cbor:"2,keyasint"` // Sequence grows with each statement of an instance.
 	Targets  []TargetLoad `cbor:"3,keyasint,omitempty"`
 	Runs     []RunPlace   `cbor:"4,keyasint,omitempty"` // Runs tells where its streams run.
+	Spent    []Usage      `cbor:"5,keyasint,omitempty"` // Spent holds what it sent to each service lately.
+}
+
+// Usage counts the requests and repeats of the last ten seconds to one service.
+type Usage struct {
+	Service  string `cbor:"1,keyasint"`
+	Requests int    `cbor:"2,keyasint"`
+	Repeats  int    `cbor:"3,keyasint"`
 }
 
 // RunPlace tells which target has read the prompt of a session.
--- a/entry/picker/loads.go
+++ b/entry/picker/loads.go
@@ -54,7 +54,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sequence++
-	return wire.Load{Instance: p.name, Sequence: p.sequence, Targets: p.own(), Runs: p.ownRuns(time.Now())}
+	l := wire.Load{Instance: p.name, Sequence: p.sequence, Targets: p.own(), Runs: p.ownRuns(time.Now())}
+	if usage := p.usage.Load(); usage != nil {
+		l.Spent = (*usage)()
+	}
+	return l
+}
+
+// Report sets the function that tells what this instance sent to each service lately.
+func (p *Picker) Report(usage func() []wire.Usage) {
+	p.usage.Store(&usage)
+}
+
+// Used returns what all other instances sent to a service lately, as far as it is known here.
+func (p *Picker) Used(service string) wire.Usage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used[service]
 }
 
 // Merge takes what a peer knows, the newest statement of each instance.
@@ -94,10 +110,17 @@
 func (p *Picker) spread(now time.Time) {
 	sums := make(map[string]wire.TargetLoad)
 	p.elsewhere = make(map[string]string)
+	p.used = make(map[string]wire.Usage)
 	for _, s := range p.heard {
 		if now.Sub(s.heard) > loadLife {
 			continue
 		}
+		for _, u := range s.load.Spent {
+			sum := p.used[u.Service]
+			sum.Requests += u.Requests
+			sum.Repeats += u.Repeats
+			p.used[u.Service] = sum
+		}
 		for _, r := range s.load.Runs {
 			p.elsewhere[r.Session] = r.Target
 		}
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -55,16 +55,18 @@
 	table  *cell.Cell[table]
 	began  time.Time
 	losses *metrics.Counter
-	dark   sync.Map // dark holds when a target of each failure domain was lost last, as a time.Time.
+	dark   sync.Map                            // dark holds when a target of each failure domain was lost last, as a time.Time.
+	usage  atomic.Pointer[func() []wire.Usage] // usage tells what this instance sent lately, or is nil.
 	cancel context.CancelFunc
 	done   chan struct{}
 
 	mu        sync.Mutex
 	name      string
 	sequence  uint64
-	heard     map[string]statement // heard holds the newest statement of each other instance.
-	places    map[string]place     // places holds where the sessions of this instance run.
-	elsewhere map[string]string    // elsewhere holds the targets of other instances\' sessions.
+	heard     map[string]statement  // heard holds the newest statement of each other instance.
+	places    map[string]place      // places holds where the sessions of this instance run.
+	elsewhere map[string]string     // elsewhere holds the targets of other instances\' sessions.
+	used      map[string]wire.Usage // used sums up what other instances sent to each service lately.
 }
 
 // New returns a picker that follows its source.
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -8,6 +8,7 @@
 	"bramleywharf.example/core/deny"
 	"bramleywharf.example/core/retry"
 	"bramleywharf.example/core/site"
+	"bramleywharf.example/core/wire"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/link"
 	"bramleywharf.example/entry/picker"
@@ -84,6 +85,7 @@
 // Settings configures a sender.
 type Settings struct {
 	Retries func() retry.Bound // Retries returns this instance's share of the fleet's bound.
+	Fleet   retry.Bound        // Fleet bounds the repeats of all instances together.
 }
 
 // Sender holds what sends to targets need.
@@ -116,7 +118,7 @@
 
 // New returns a sender.
 func New(s Settings, l *link.Link, p *picker.Picker, d Dialect, logger log.Interface, set *metrics.Set) *Sender {
-	return &Sender{
+	sender := &Sender{
 		Link:     l,
 		Picker:   p,
 		Dialect:  d,
@@ -138,11 +140,8 @@
 			Resume:   set.GetOrCreateHistogram("bramleywharf_stream_resume_seconds"),
 		},
 	}
-}
-
-// RepeatsLeft returns the repeats that the bound still allows for a service.
-func (s *Sender) RepeatsLeft(service string) int {
-	return s.window(service).Load().Left(time.Since(s.began), s.settings.Retries())
+	p.Report(sender.usage)
+	return sender
 }
 
 // Request counts a request of a service.
@@ -157,12 +156,18 @@
 	}
 }
 
-// Repeat takes one repeat from the bound of a service, or returns false.
+// Repeat takes one repeat from the bound of a service, from the instance's share or from what the fleet leaves unused, or returns false.
 func (s *Sender) Repeat(service string) bool {
 	w := s.window(service)
 	for {
 		old := w.Load()
-		next, ok := old.WithRepeat(time.Since(s.began), s.settings.Retries())
+		now := time.Since(s.began)
+		own := s.settings.Retries()
+		next, ok := old.WithRepeat(now, own)
+		if !ok {
+			used := s.Picker.Used(service)
+			next, ok = old.WithOverdraft(now, retry.Overdraft{Requests: used.Requests, Repeats: used.Repeats, Fleet: s.settings.Fleet, Own: own})
+		}
 		if !ok {
 			s.Counts.Denied.Inc()
 			return false
@@ -174,6 +179,17 @@
 	}
 }
 
+// usage tells what this instance sent to each service lately.
+func (s *Sender) usage() []wire.Usage {
+	var usage []wire.Usage
+	s.windows.Range(func(service, w any) bool {
+		requests, repeats := w.(*atomic.Pointer[retry.Window]).Load().Count(time.Since(s.began))
+		usage = append(usage, wire.Usage{Service: service.(string), Requests: requests, Repeats: repeats})
+		return true
+	})
+	return usage
+}
+
 // window returns the window of a service.
 func (s *Sender) window(service string) *atomic.Pointer[retry.Window] {
 	if w, ok := s.windows.Load(service); ok {
--- a/lab/internal/soak/world.go
+++ b/lab/internal/soak/world.go
@@ -45,7 +45,6 @@
 	*stand.Target
 	proxy   *Proxy
 	service string
-	left    time.Time // left is when the target said that it leaves, or zero.
 }
 
 // newWorld starts stand-ins and processes.
