--- a/entry/chain/call.go
+++ b/entry/chain/call.go
@@ -69,6 +69,7 @@
 	Sink         Sink
 	Site         *site.Config // Site judges forwarded requests.
 	Route        site.Route   // Route is that of a forwarded request.
+	Urgency      int          // Urgency ranks a forwarded call; 0 is the most urgent.
 	Entered      func()       // Entered is called when the call holds the engine that it was let through to, or is nil.
 }
 
@@ -103,3 +104,9 @@
 	c.Route = r
 	return c
 }
+
+// WithUrgency returns a copy of a forwarded call of a rank.
+func (c Call) WithUrgency(rank int) Call {
+	c.Urgency = rank
+	return c
+}
--- a/entry/chain/forward.go
+++ b/entry/chain/forward.go
@@ -4,18 +4,17 @@
 
 // Forward asks for a request to be passed on to a target of its route, its body and path unchanged.
 type Forward struct {
-	Host       string
-	Method     string
-	Path       string // Path is the raw request target, query included.
-	Header     Header // Header holds what may be passed on to a target.
-	Body       []byte
-	Deadline   time.Time // Deadline is when the caller stops waiting.
-	Received   time.Time
-	LastEvent  string // LastEvent is the id of the last event that the caller has, or empty.
-	Session    string // Session names the part of the prompt that belongs to the caller's session, or is empty.
-	Prompt     int    // Prompt is the length of the prompt in tokens, or 0.
-	Outlet     Outlet
-	Persistent bool // Persistent tells that the request came on a connection that was used before.
+	Host      string
+	Method    string
+	Path      string // Path is the raw request target, query included.
+	Header    Header // Header holds what may be passed on to a target.
+	Body      []byte
+	Deadline  time.Time // Deadline is when the caller stops waiting.
+	Received  time.Time
+	LastEvent string // LastEvent is the id of the last event that the caller has, or empty.
+	Session   string // Session names the part of the prompt that belongs to the caller's session, or is empty.
+	Prompt    int    // Prompt is the length of the prompt in tokens, or 0.
+	Outlet    Outlet
 }
 
 // Header holds the values of each header by its canonical name.
--- a/entry/filter/locate.go
+++ b/entry/filter/locate.go
@@ -46,11 +46,14 @@
 	if !ok {
 		return chain.Refuse(deny.New(deny.KindUnknown, "no route matches at version %s", s.Version))
 	}
-	c = c.WithRoute(s, route)
+	c = c.WithRoute(s, route).WithUrgency(route.Priority)
 	if !s.Keyed() {
 		return next(ctx, c)
 	}
 	caller, ok := s.Caller(c.Credential)
+	if ok && caller.Ranked {
+		c = c.WithUrgency(caller.Priority)
+	}
 	if ok {
 		return next(ctx, c.WithOrganisation(caller.Name))
 	}
--- a/entry/flight/guard.go
+++ b/entry/flight/guard.go
@@ -118,7 +118,7 @@
 		d.sender.Log.WithError(err).WithField("target", d.pick.Target.Name).Info("report cannot be read")
 		return nil
 	}
-	if p.Events > 0 || p.Unnamed == 0 {
+	if p.Events > 0 || !p.Listed && p.Unnamed == 0 {
 		return errMissed
 	}
 	return nil
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -38,8 +38,9 @@
 
 // Progress is what a target says of one request, as of some hundred milliseconds before.
 type Progress struct {
-	Events  int // Events counts the events made so far; a request whose prompt is being read has none.
-	Unnamed int // Unnamed counts the requests that wait there or whose prompt is being read.
+	Listed  bool // Listed tells that the target names the request among those that produce events.
+	Events  int  // Events counts the events made so far; a request whose prompt is being read has none.
+	Unnamed int  // Unnamed counts the requests that wait there or whose prompt is being read.
 }
 
 // Verdict is the sealed set of what a response says of itself: Signed, NotRun and Unsigned.
