flight: losses of a failure domain are shared and checked at once

Change: instances tell each other where they lost targets; a target of that failure domain is asked what it runs. Ruled out: shorter TCP probes, which the kernel counts in seconds.

--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -160,6 +160,13 @@
 	Targets  []TargetLoad `cbor:"3,keyasint,omitempty"`
 	Runs     []RunPlace   `cbor:"4,keyasint,omitempty"` // Runs tells where its streams run.
 	Spent    []Usage      `cbor:"5,keyasint,omitempty"` // Spent holds what it sent to each service lately.
+	Lost     []DomainLoss `cbor:"6,keyasint,omitempty"` // Lost tells where it lost targets lately.
+}
+
+// DomainLoss tells how long ago an instance lost a target of a failure domain.
+type DomainLoss struct {
+	Domain string        `cbor:"1,keyasint"`
+	Age    time.Duration `cbor:"2,keyasint"`
 }
 
 // Usage counts the requests and repeats of the last ten seconds to one service.
--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -21,8 +21,10 @@
 	copyPatience  = 1500 * time.Millisecond // copyPatience is the wait for the first event of a stream that goes on from a copy; to read the prompt again takes a second and more.
 	silenceShared = 120 * time.Millisecond  // silenceShared is that silence when another target of the failure domain was lost since.
 	firstProbe    = 1200 * time.Millisecond // firstProbe is the time between two probes before the first event; most prompts are read by then.
+	nearProbe     = 300 * time.Millisecond  // nearProbe is that time when another target of the failure domain was lost since.
 	askAfter      = 2200 * time.Millisecond // askAfter is the wait for the first event after which the target is asked how far it has come; most prompts are read by then.
 	askTimeout    = 400 * time.Millisecond  // askTimeout bounds that question.
+	reportLag     = 700 * time.Millisecond  // reportLag is the age of a request from which a report must tell of it; reports are some hundred milliseconds old.
 	lookPeriod    = 40 * time.Millisecond   // lookPeriod is the time between two looks at a stream's silence.
 )
 
--- a/entry/flight/guard.go
+++ b/entry/flight/guard.go
@@ -85,12 +85,13 @@
 		}
 		return errSilent
 	}
-	if silence <= d.unsure(heard) || d.probed > heard && now-d.probed < firstProbe {
+	near := d.pick.DomainLostSince(d.began.Add(max(heard, d.probed)))
+	if silence <= d.unsure(heard, near) || d.probed > heard && now-d.probed < pauseOf(near) {
 		return nil
 	}
 	d.probed = now
 	var err error
-	if heard == 0 && !d.copied && now > askAfter {
+	if heard == 0 && !d.copied && (near || now > askAfter) {
 		err = d.ask(ctx)
 	} else if d.sender.Link.Probe(ctx, d.pick.Target.Address) != nil {
 		err = errDark
@@ -122,7 +123,7 @@
 		d.sender.Log.WithError(err).WithField("target", d.pick.Target.Name).Info("report cannot be read")
 		return nil
 	}
-	if p.Events > 0 || !p.Listed && p.Unnamed == 0 {
+	if p.Events > 0 || !p.Listed && p.Unnamed == 0 && time.Since(d.began) > reportLag {
 		return errMissed
 	}
 	return nil
@@ -146,10 +147,18 @@
 	<-d.done
 }
 
-// unsure returns the silence after which the target is probed.
-func (d *guard) unsure(heard time.Duration) time.Duration {
+// pauseOf returns the least time between two probes.
+func pauseOf(near bool) time.Duration {
+	if near {
+		return nearProbe
+	}
+	return firstProbe
+}
+
+// unsure returns the silence after which the target is probed; near tells that another target of the failure domain was lost since.
+func (d *guard) unsure(heard time.Duration, near bool) time.Duration {
 	switch {
-	case d.pick.DomainLostSince(d.began.Add(max(heard, d.probed))):
+	case near:
 		return max(silenceShared, d.sender.Pace(d.flight.service).Probe()/2)
 	case heard > 0 || d.copied:
 		return d.sender.Pace(d.flight.service).Probe()
--- a/entry/picker/loads.go
+++ b/entry/picker/loads.go
@@ -55,6 +55,12 @@
 	defer p.mu.Unlock()
 	p.sequence++
 	l := wire.Load{Instance: p.name, Sequence: p.sequence, Targets: p.own(), Runs: p.ownRuns(time.Now())}
+	p.dark.Range(func(domain, at any) bool {
+		if age := time.Since(at.(time.Time)); age < loadLife {
+			l.Lost = append(l.Lost, wire.DomainLoss{Domain: domain.(string), Age: age})
+		}
+		return true
+	})
 	if usage := p.usage.Load(); usage != nil {
 		l.Spent = (*usage)()
 	}
@@ -81,11 +87,22 @@
 	for _, l := range loads {
 		if known, ok := p.heard[l.Instance]; l.Instance != p.name && (!ok || l.Sequence > known.load.Sequence) {
 			p.heard[l.Instance] = statement{load: l, heard: now}
+			p.notice(l.Lost, now)
 		}
 	}
 	p.spread(now)
 }
 
+// notice takes the losses of another instance as evidence of the same kind as its own.
+func (p *Picker) notice(losses []wire.DomainLoss, now time.Time) {
+	for _, l := range losses {
+		at := now.Add(-l.Age)
+		if known, ok := p.dark.Load(l.Domain); !ok || known.(time.Time).Before(at) {
+			p.dark.Store(l.Domain, at)
+		}
+	}
+}
+
 // Name sets the name under which this instance states its load, and the number of its start.
 func (p *Picker) Name(name string, incarnation uint64) {
 	p.mu.Lock()
--- a/entry/picker/picker_test.go
+++ b/entry/picker/picker_test.go
@@ -159,3 +159,28 @@
 		quicktest.Assert(t, p.Own().Targets, quicktest.HasLen, 0)
 	})
 }
+
+// TestDomainLoss checks that a peer's loss counts as evidence from the time of the loss on.
+func TestDomainLoss(t *testing.T) {
+	cases := map[string]struct {
+		age  time.Duration
+		want bool
+	}{
+		"after-the-begin":  {100 * time.Millisecond, true},
+		"before-the-begin": {2 * time.Second, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				time.Sleep(time.Millisecond)
+				p := newPicker(t)
+				k, _ := p.Stream(Want{Service: "s", Avoid: map[string]bool{"c": true}})
+				began := time.Now()
+				time.Sleep(time.Second)
+				p.Merge([]wire.Load{{Instance: "other", Sequence: 1, Lost: []wire.DomainLoss{{Domain: "x", Age: test.age}}}})
+				quicktest.Assert(t, k.DomainLostSince(began), quicktest.Equals, test.want)
+				quicktest.Assert(t, p.Own().Lost, quicktest.HasLen, 1)
+			})
+		})
+	}
+}
