--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -20,9 +20,10 @@
 	backoffBase = 150 * time.Millisecond  // backoffBase is the first wait after a failed call.
 	backoffMax  = 600 * time.Millisecond  // backoffMax bounds that wait, so that a store that returns is noticed well within two seconds.
 	dutyPause   = 100 * time.Millisecond  // dutyPause is the time between two looks at one's duty.
-	dutyKept    = 6 * time.Second         // dutyKept is how long an instance that stepped in goes on.
+	dutyKept    = 2500 * time.Millisecond // dutyKept is how long an instance that stepped in goes on.
 	stepInFirst = 1400 * time.Millisecond // stepInFirst is the age from which more instances ask the store; in a small fleet news passes from those that do within 1.3 s.
-	stepInAll   = 1700 * time.Millisecond // stepInAll is the age from which all do.
+	stepInMore  = 1700 * time.Millisecond // stepInMore is the age from which a quarter of the fleet does, and eight at the least.
+	stepInAll   = 2200 * time.Millisecond // stepInAll is the age from which all do.
 	perLevel    = 400 * time.Millisecond  // perLevel is added to both for each level of pulls between an instance and those that ask.
 	lostAfter   = 3 * time.Second         // lostAfter is the age from which the store counts as lost; entries lapse after three heartbeats of 1.2 s, and the loss of those that ask is over by then.
 	settle      = 2 * time.Second         // settle is how long after the store's return entries may still be missing.
@@ -185,8 +186,9 @@
 		return true, kept
 	}
 	now := time.Now()
-	age := f.Age() - time.Duration(levels((*d).Size())-1)*perLevel
-	if age > stepInAll || age > stepInFirst && (*d).Elected(role, 2*watchers) {
+	size := (*d).Size()
+	age := f.Age() - time.Duration(levels(size)-1)*perLevel
+	if (*d).Elected(role, stepIn(age, size)) {
 		if now.After(kept) {
 			f.log.WithFields(log.Fields{"age-ms": age.Milliseconds(), "revision": f.View().At()}).Info("steps in to ask the store")
 		}
@@ -195,6 +197,20 @@
 	return now.Before(kept), kept
 }
 
+// stepIn returns how many instances ask the store when what is known has an age.
+func stepIn(age time.Duration, size int) int {
+	switch {
+	case age > stepInAll:
+		return size
+	case age > stepInMore:
+		return max(4*watchers, size/4)
+	case age > stepInFirst:
+		return 2 * watchers
+	default:
+		return watchers
+	}
+}
+
 // levels returns how often news is passed on until it has reached every instance of a fleet, at the most.
 func levels(size int) int {
 	count := 1
