flight: a stream that may not be resumed is not ended for silence

Cause: reading the code: the guard cut any stream after half a second of silence, also where nothing could follow, which would end an answer for a target's silence alone. Change: streams that may not be resumed are not guarded and keep no copies; a target that is gone ends their connection by the probes of TCP. Ruled out: a longer patience, which is still no reason to end an answer.

--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -96,7 +96,7 @@
 		last:    f.LastEvent,
 	}
 	if service, ok := c.Site.Service(g.service); ok && service.Engine != nil {
-		g.copies = service.Engine.Copies
+		g.copies = service.Engine.Copies && policy.Resumable
 		g.memory = service.Engine.Memory
 		g.copyLife = time.Duration(copyLife * float64(service.Engine.Keep))
 	}
--- a/entry/flight/guard.go
+++ b/entry/flight/guard.go
@@ -74,8 +74,11 @@
 	d.heard.Store(int64(time.Since(d.began)))
 }
 
-// look returns an error when the target has been silent for too long, or takes no connections when it is probed.
+// look returns an error when the target has been silent for too long, or takes no connections when it is probed. A stream that may not be resumed is not ended for silence, since nothing could follow.
 func (d *guard) look(ctx context.Context) error {
+	if !d.flight.policy.Resumable {
+		return nil
+	}
 	heard := time.Duration(d.heard.Load())
 	now := time.Since(d.began)
 	silence := now - heard
