cell: one compare-and-swap loop for values that change without a lock

Cause: the loop that loads a value, changes it and swaps it stood three times (send.Request, send.Learn, picker.update), and a fourth time with a refusal (send.Repeat). Change: cell.Swap holds it; Repeat counts its metrics after the loop, so that a second round of the loop can't count twice. Ruled out: Cell.Update for these: it takes a lock and wakes readers that nobody is, on the path of each request.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -41,3 +41,19 @@
 	c.changed = make(chan struct{})
 	return next
 }
+
+// Swap replaces the value that a pointer holds by what change makes of it, in the manner of Update but without a lock or notice; it returns false when change refuses.
+//
+// change runs again when another writer was faster, so it must have no effects of its own.
+func Swap[T any](p *atomic.Pointer[T], change func(T) (T, bool)) bool {
+	for {
+		old := p.Load()
+		next, ok := change(*old)
+		if !ok {
+			return false
+		}
+		if p.CompareAndSwap(old, &next) {
+			return true
+		}
+	}
+}
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -187,11 +187,5 @@
 
 // update replaces a belief by what change makes of it.
 func (s *state) update(change func(health.Belief) health.Belief) {
-	for {
-		old := s.belief.Load()
-		next := change(*old)
-		if s.belief.CompareAndSwap(old, &next) {
-			return
-		}
-	}
+	cell.Swap(&s.belief, func(b health.Belief) (health.Belief, bool) { return change(b), true })
 }
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"bramleywharf.example/core/cell"
 	"bramleywharf.example/core/deny"
 	"bramleywharf.example/core/flow"
 	"bramleywharf.example/core/retry"
@@ -149,37 +150,28 @@
 
 // Request counts a request of a service.
 func (s *Sender) Request(service string) {
-	w := s.window(service)
-	for {
-		old := w.Load()
-		next := old.WithRequest(time.Since(s.began))
-		if w.CompareAndSwap(old, &next) {
-			return
-		}
-	}
+	cell.Swap(s.window(service), func(w retry.Window) (retry.Window, bool) {
+		return w.WithRequest(time.Since(s.began)), true
+	})
 }
 
 // Repeat takes one repeat from the bound of a service, from the instance's share or from what the fleet leaves unused, or returns false.
 func (s *Sender) Repeat(service string) bool {
-	w := s.window(service)
-	for {
-		old := w.Load()
+	ok := cell.Swap(s.window(service), func(w retry.Window) (retry.Window, bool) {
 		now := time.Since(s.began)
 		own := s.settings.Retries()
-		next, ok := old.WithRepeat(now, own)
-		if !ok {
-			used := s.Picker.Used(service)
-			next, ok = old.WithOverdraft(now, retry.Overdraft{Requests: used.Requests, Repeats: used.Repeats, Fleet: s.settings.Fleet, Own: own})
-		}
-		if !ok {
-			s.Counts.Denied.Inc()
-			return false
-		}
-		if w.CompareAndSwap(old, &next) {
-			s.Counts.Repeats.Inc()
-			return true
+		if next, ok := w.WithRepeat(now, own); ok {
+			return next, true
 		}
+		used := s.Picker.Used(service)
+		return w.WithOverdraft(now, retry.Overdraft{Requests: used.Requests, Repeats: used.Repeats, Fleet: s.settings.Fleet, Own: own})
+	})
+	if ok {
+		s.Counts.Repeats.Inc()
+	} else {
+		s.Counts.Denied.Inc()
 	}
+	return ok
 }
 
 // usage tells what this instance sent to each service lately.
@@ -200,14 +192,7 @@
 
 // Learn changes the estimate of the pauses of a service's streams.
 func (s *Sender) Learn(service string, change func(flow.Pace) flow.Pace) {
-	p := value[flow.Pace](&s.paces, service)
-	for {
-		old := p.Load()
-		next := change(*old)
-		if p.CompareAndSwap(old, &next) {
-			return
-		}
-	}
+	cell.Swap(value[flow.Pace](&s.paces, service), func(p flow.Pace) (flow.Pace, bool) { return change(p), true })
 }
 
 // window returns the window of a service.
