link: idle connections to a target are bounded by the instances' share

Cause: a target takes max_connections from all callers together and resets those beyond. Each instance kept up to 8 idle ones whatever the bound was: 89 instances could hold 712 of 590 at a plain target, before one request. Change: a request says how many idle connections to its target may be kept; the sender takes half of the service's bound, parted among the instances. Where no bound is declared the link's own 8 holds. Ruled out: a bound on connections in use: a target refuses beyond its slots and queue, which is a truthful answer and comes earlier than the bound.

--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -5,19 +5,19 @@
 	"sync/atomic"
 	"testing"
 
-	qt "github.com/frankban/quicktest"
+	"github.com/frankban/quicktest"
 )
 
 func TestSwap(t *testing.T) {
 	for name, test := range map[string]struct {
 		writers, each, limit, want int
 	}{
-		"one writer":                   {writers: 1, each: 10, limit: 100, want: 10},
-		"no change of many is lost":    {writers: 16, each: 200, limit: 1 << 20, want: 3200},
-		"refused changes take no part": {writers: 16, each: 200, limit: 50, want: 50},
+		"one-writer":   {writers: 1, each: 10, limit: 100, want: 10},
+		"many-writers": {writers: 16, each: 200, limit: 1 << 20, want: 3200},
+		"refused":      {writers: 16, each: 200, limit: 50, want: 50},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := qt.New(t)
+			c := quicktest.New(t)
 			p := &atomic.Pointer[int]{}
 			p.Store(new(int))
 			var accepted atomic.Int64
@@ -32,8 +32,8 @@
 				})
 			}
 			group.Wait()
-			c.Assert(*p.Load(), qt.Equals, test.want)
-			c.Assert(int(accepted.Load()), qt.Equals, test.want)
+			c.Assert(*p.Load(), quicktest.Equals, test.want)
+			c.Assert(int(accepted.Load()), quicktest.Equals, test.want)
 		})
 	}
 }
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -22,7 +22,7 @@
 	dialTimeout   = 150 * time.Millisecond // dialTimeout bounds the wait for a connection; failure domains are milliseconds apart, so a target that needs longer is dark.
 	idleFallback  = 2 * time.Second        // idleFallback is how long a connection is kept when the target names no timeout.
 	idleMargin    = 500 * time.Millisecond // idleMargin is taken off the timeout that a target names, which is in whole seconds.
-	maxIdle       = 8                      // maxIdle bounds the idle connections to one target.
+	maxIdle       = 8                      // maxIdle bounds the idle connections to one target, where the request gives no lower bound.
 	userTimeout   = 2 * time.Second        // userTimeout ends a connection whose bytes are not acknowledged.
 	probeIdle     = time.Second            // probeIdle is the silence after which a connection is probed.
 	probeInterval = 500 * time.Millisecond // probeInterval is the time between two such probes.
@@ -59,6 +59,7 @@
 	Body    []byte
 	Echo    string // Echo is the value that the target repeats in its response; empty for calls whose response repeats none.
 	Fresh   bool   // Fresh asks for a connection that was not used before.
+	Idle    int    // Idle bounds the idle connections to the target that are kept after the response; 0 means that only the link's own bound holds.
 }
 
 // Settings configures a link.
@@ -140,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	l.put(address, c, nil)
+	l.put(address, c, nil, maxIdle)
 	return nil
 }
 
@@ -153,7 +154,7 @@
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
-	reply := &Reply{link: l, address: r.Address, conn: c, written: make(chan error, 1)}
+	reply := &Reply{link: l, address: r.Address, idle: r.Idle, conn: c, written: make(chan error, 1)}
 	reply.unhook = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := l.exchange(ctx, r, reply); err != nil {
 		reply.Close()
@@ -210,8 +211,8 @@
 	return fmt.Errorf("target %s: %w", r.Address, ErrStray)
 }
 
-// put keeps a connection for the next request.
-func (l *Link) put(address string, c *conn, h http.Header) {
+// put keeps a connection for the next request, and no more than bound to its target.
+func (l *Link) put(address string, c *conn, h http.Header, bound int) {
 	c.used = true
 	c.idle = time.Now()
 	c.expires = expiry(c.idle, h, idleMargin, idleFallback)
@@ -222,7 +223,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	list := append(l.idle[address], c)
-	if len(list) > maxIdle {
+	if bound <= 0 || bound > maxIdle {
+		bound = maxIdle
+	}
+	for len(list) > bound {
 		_ = list[0].Close()
 		list = list[1:]
 	}
--- a/entry/link/reply.go
+++ b/entry/link/reply.go
@@ -11,6 +11,7 @@
 type Reply struct {
 	link     *Link
 	address  string
+	idle     int // idle bounds the idle connections to the target, or is 0.
 	conn     *conn
 	response *http.Response
 	written  chan error
@@ -83,5 +84,5 @@
 		_ = r.conn.Close()
 		return
 	}
-	r.link.put(r.address, r.conn, r.response.Header)
+	r.link.put(r.address, r.conn, r.response.Header, r.idle)
 }
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	idleShare      = 0.5                   // idleShare is the part of a target's connections that idle ones may take; the rest is for those in use and for instances that have more than their share.
 	deadlineMargin = 20 * time.Millisecond // deadlineMargin is kept back from a caller's deadline for the way of the answer.
 )
 
@@ -89,6 +90,7 @@
 type Settings struct {
 	Retries func() retry.Bound // Retries returns this instance's share of the fleet's bound.
 	Fleet   retry.Bound        // Fleet bounds the repeats of all instances together.
+	Size    func() int         // Size returns the number of instances, this one included.
 }
 
 // Sender holds what sends to targets need.
@@ -245,9 +247,19 @@
 		Body:    f.Body,
 		Echo:    m.Call.ID,
 		Fresh:   fresh,
+		Idle:    s.idle(m),
 	}
 }
 
+// idle returns how many idle connections this instance may keep to a target, or 0 where the target has no bound.
+func (s *Sender) idle(m Send) int {
+	service, ok := m.Call.Site.Service(m.Target.Service)
+	if !ok || service.MaxConns == 0 {
+		return 0
+	}
+	return max(1, int(idleShare*float64(service.MaxConns))/max(1, s.settings.Size()))
+}
+
 // Unavailable refuses a call that was not run.
 func Unavailable(after time.Duration, format string, args ...any) chain.Answer {
 	return chain.Refuse(deny.New(deny.KindUnavailable, format, args...).WithRetryAfter(after))
--- /dev/null
+++ b/entry/send/send_test.go
@@ -0,0 +1,115 @@
+package send
+
+import (
+	"testing"
+	"time"
+
+	"bramleywharf.example/core/retry"
+	"bramleywharf.example/core/site"
+	"bramleywharf.example/core/wire"
+	"bramleywharf.example/entry/chain"
+	"bramleywharf.example/entry/link"
+	"bramleywharf.example/entry/picker"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/frankban/quicktest"
+)
+
+// empty is a source without targets.
+type empty struct{}
+
+// Changed returns a channel that never closes.
+func (empty) Changed() <-chan struct{} { return nil }
+
+// Settled tells that what is missing is gone.
+func (empty) Settled() bool { return true }
+
+// Targets returns nothing.
+func (empty) Targets() []site.Target { return nil }
+
+// newSender returns a sender without targets.
+func newSender(t *testing.T, s Settings) *Sender {
+	logger := &log.Logger{Handler: discard.New()}
+	p := picker.New(empty{}, func(string) {}, logger, metrics.NewSet())
+	t.Cleanup(p.Close)
+	p.Name("self", 1)
+	return New(s, link.New(link.Settings{}, metrics.NewSet()), p, nil, logger, metrics.NewSet())
+}
+
+func TestIdle(t *testing.T) {
+	cases := map[string]struct {
+		bound int // bound is the most connections of a target, or 0.
+		size  int // size is the number of instances.
+		want  int
+	}{
+		"no-bound":             {bound: 0, size: 10, want: 0},
+		"one-instance":         {bound: 100, size: 1, want: 50},
+		"a-dozen-instances":    {bound: 100, size: 12, want: 4},
+		"many-instances":       {bound: 590, size: 89, want: 3},
+		"more-than-the-bound":  {bound: 20, size: 89, want: 1},
+		"no-instance-is-known": {bound: 100, size: 0, want: 50},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSender(t, Settings{Size: func() int { return test.size }})
+			config := site.NewConfig("1", 1, site.Limits{}).WithServices([]site.Service{{Name: "s", MaxConns: test.bound}})
+			m := Send{Call: chain.Call{}.WithRoute(config, site.Route{}), Target: site.Target{Service: "s"}}
+			quicktest.Assert(t, s.idle(m), quicktest.Equals, test.want)
+		})
+	}
+}
+
+func TestRepeat(t *testing.T) {
+	own := retry.Bound{Ratio: 0.2, Slack: 2}
+	fleet := retry.Bound{Ratio: 0.2, Slack: 20}
+	cases := map[string]struct {
+		requests int
+		others   []wire.Usage // others is what another instance sent.
+		tries    int
+		want     int
+	}{
+		"own-share-of-a-busy-fleet":  {requests: 10, others: []wire.Usage{{Service: "s", Requests: 100, Repeats: 40}}, tries: 50, want: 4},
+		"idle-fleet-lends":           {requests: 10, others: []wire.Usage{{Service: "s", Requests: 500, Repeats: 0}}, tries: 50, want: 20},
+		"another-service-is-no-help": {requests: 10, others: []wire.Usage{{Service: "other", Requests: 500}}, tries: 50, want: 11},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSender(t, Settings{Retries: func() retry.Bound { return own }, Fleet: fleet})
+			for range test.requests {
+				s.Request("s")
+			}
+			s.Picker.Merge([]wire.Load{{Instance: "other", Sequence: 1, Spent: test.others}})
+			got := 0
+			for range test.tries {
+				if s.Repeat("s") {
+					got++
+				}
+			}
+			quicktest.Assert(t, got, quicktest.Equals, test.want)
+			quicktest.Assert(t, s.Counts.Denied.Get(), quicktest.Equals, uint64(test.tries-test.want))
+			quicktest.Assert(t, s.Counts.Repeats.Get(), quicktest.Equals, uint64(test.want))
+		})
+	}
+}
+
+func TestLimit(t *testing.T) {
+	now := time.Now()
+	cases := map[string]struct {
+		timeout, deadline time.Duration
+		limit, left       time.Duration // limit and left are counted from the arrival.
+	}{
+		"no-timeout":       {deadline: time.Second, limit: time.Second - deadlineMargin, left: time.Second},
+		"timeout-is-first": {timeout: 500 * time.Millisecond, deadline: time.Second, limit: 500 * time.Millisecond, left: 500 * time.Millisecond},
+		"caller-is-first":  {timeout: 2 * time.Second, deadline: time.Second, limit: time.Second - deadlineMargin, left: time.Second},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			call := chain.Call{Route: site.Route{Timeout: test.timeout}}
+			f := chain.Forward{Received: now, Deadline: now.Add(test.deadline)}
+			quicktest.Assert(t, Limit(call, f).Sub(now), quicktest.Equals, test.limit)
+			left := Left(call, f)
+			quicktest.Assert(t, left <= test.left && left > test.left-100*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%s", left))
+		})
+	}
+}
