filter: a target's failure and a repeated answer always have their log line

Cause: the trace counted every whole answer as ordinary, so that a failure of a target that was passed on, and an answer that took several targets, were left out after five lines in a second, although an engineer who has the request's id needs just these. Change: an answer tells how many targets were tried; failures from 500 on and answers of more than one try are logged always, with both figures. Ruled out: raising the bound of sampled lines: it hides the rare again when load grows.

--- a/entry/chain/forward.go
+++ b/entry/chain/forward.go
@@ -36,8 +36,9 @@
 
 // Passed is the whole response of a target.
 type Passed struct {
-	Head Head
-	Body []byte
+	Head  Head
+	Body  []byte
+	Sends int // Sends counts the targets that were tried, those that could not be reached included.
 }
 
 // Finished says that all events of a response went to the outlet.
--- a/entry/filter/trace.go
+++ b/entry/filter/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -65,8 +66,7 @@
 	}
 	switch a := answer.(type) {
 	case chain.Passed:
-		fields["status"] = a.Head.Status
-		t.ordinary(fields, "answered", located, took)
+		t.answered(fields, located, a, took)
 	case chain.Finished:
 		t.finished(fields, located, a, took)
 	case chain.Severed:
@@ -78,6 +78,19 @@
 	}
 }
 
+// answered logs a whole answer; a target's failure and an answer that took more than one target always have their line.
+func (t *Trace) answered(fields log.Fields, c chain.Call, a chain.Passed, took time.Duration) {
+	fields["status"], fields["sends"] = a.Head.Status, a.Sends
+	switch {
+	case a.Head.Status >= http.StatusInternalServerError:
+		t.log.WithFields(fields).Info("target's failure passed on")
+	case a.Sends > 1:
+		t.log.WithFields(fields).Info("answered after a repeat")
+	default:
+		t.ordinary(fields, "answered", c, took)
+	}
+}
+
 // finished logs a whole stream; one that was resumed or late always has its line.
 func (t *Trace) finished(fields log.Fields, c chain.Call, a chain.Finished, took time.Duration) {
 	fields["events"], fields["resumed"] = a.Events, a.Resumed
--- /dev/null
+++ b/entry/filter/trace_test.go
@@ -0,0 +1,76 @@
+package filter
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bramleywharf.example/core/deny"
+	"bramleywharf.example/core/site"
+	"bramleywharf.example/entry/chain"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/frankban/quicktest"
+)
+
+func TestTrace(t *testing.T) {
+	plain := site.Route{Name: "plain", Repeat: site.Idempotent{}, Aim: 100 * time.Millisecond}
+	stream := site.Route{Name: "stream", Repeat: site.Stream{Pause: 700 * time.Millisecond}, Aim: time.Second}
+	const calls = 40
+	cases := map[string]struct {
+		route  site.Route
+		answer chain.Answer
+		took   time.Duration
+		lines  int // lines counts those of 40 calls in one second.
+	}{
+		"ordinary-answers-are-sampled":  {route: plain, answer: chain.Passed{Head: chain.Head{Status: 200}, Sends: 1}, lines: ordinaryLines},
+		"ordinary-streams-are-sampled":  {route: stream, answer: chain.Finished{Events: 3}, lines: ordinaryLines},
+		"caller's-fault-is-sampled":     {route: plain, answer: chain.Passed{Head: chain.Head{Status: 404}, Sends: 1}, lines: ordinaryLines},
+		"target's-failure-has-its-line": {route: plain, answer: chain.Passed{Head: chain.Head{Status: 500}, Sends: 1}, lines: calls},
+		"repeated-answer-has-its-line":  {route: plain, answer: chain.Passed{Head: chain.Head{Status: 200}, Sends: 2}, lines: calls},
+		"late-answer-has-its-line":      {route: plain, answer: chain.Passed{Head: chain.Head{Status: 200}, Sends: 1}, took: 101 * time.Millisecond, lines: calls},
+		"resumed-stream-has-its-line":   {route: stream, answer: chain.Finished{Resumed: 1}, lines: calls},
+		"late-stream-has-its-line":      {route: stream, answer: chain.Finished{First: 1100 * time.Millisecond}, lines: calls},
+		"paused-stream-has-its-line":    {route: stream, answer: chain.Finished{Pause: 800 * time.Millisecond}, lines: calls},
+		"severed-stream-has-its-line":   {route: stream, answer: chain.Severed{Reason: "cut"}, lines: calls},
+		"refusal-has-its-line":          {route: plain, answer: chain.Refuse(deny.New(deny.KindUnavailable, "full")), lines: calls},
+		"caller-who-left-has-its-line":  {route: plain, answer: chain.Left{}, lines: calls},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				handler := memory.New()
+				set := metrics.NewSet()
+				trace := NewTrace(&log.Logger{Handler: handler, Level: log.InfoLevel}, set)
+				forward := chain.Build(func(context.Context, chain.Call) chain.Answer {
+					time.Sleep(test.took)
+					return test.answer
+				}, trace, located(test.route), Noted{})
+				for range calls {
+					if test.took == 0 {
+						time.Sleep(10 * time.Millisecond)
+					}
+					c.Assert(forward(t.Context(), chain.Call{ID: "id"}), quicktest.DeepEquals, test.answer)
+				}
+				c.Assert(handler.Entries, quicktest.HasLen, test.lines)
+				for _, line := range handler.Entries {
+					c.Assert(line.Fields["request"], quicktest.Equals, "id")
+					c.Assert(line.Fields["route"], quicktest.Equals, test.route.Name)
+				}
+				skipped := set.GetOrCreateCounter("bramleywharf_log_ordinary_skipped_total").Get()
+				c.Assert(skipped, quicktest.Equals, uint64(calls-test.lines))
+			})
+		})
+	}
+}
+
+// located is a filter that puts calls on a route.
+type located site.Route
+
+// Handle puts the call on the route.
+func (l located) Handle(ctx context.Context, c chain.Call, next chain.Handler) chain.Answer {
+	return next(ctx, c.WithRoute(nil, site.Route(l)))
+}
--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -127,7 +127,7 @@
 		if err != nil {
 			return broken{cause: g.cause(ctx, err)}
 		}
-		return refusedBy{passed: chain.Passed{Head: head, Body: body}}
+		return refusedBy{passed: chain.Passed{Head: head, Body: body, Sends: g.sends + g.unsent}}
 	}
 	return g.copyEvents(ctx, pick, reply, head, guard, s, backup)
 }
--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -227,7 +227,7 @@
 			pick.Succeeded(took)
 		}
 		head := chain.Head{Status: status, Header: e.sender.Dialect.Response(reply.Header())}
-		return answered{passed: chain.Passed{Head: head, Body: body}}
+		return answered{passed: chain.Passed{Head: head, Body: body, Sends: e.sends + e.unsent}}
 	default:
 		return lost{err: errors.Errorf("response with status %d proves nothing", status)}
 	}
