--- a/entry/board/board.go
+++ b/entry/board/board.go
@@ -82,7 +82,7 @@
 	b.config.Update(func(*site.Config) *site.Config { return next })
 	fields := log.Fields{"config-version": next.Version, "revision": next.Revision}
 	if old != nil {
-		fields["before"] = old.Version
+		fields["old-version"] = old.Version
 	}
 	b.log.WithFields(fields).Info("configuration in force")
 }
--- a/entry/filter/trace.go
+++ b/entry/filter/trace.go
@@ -127,7 +127,7 @@
 // refused logs a refusal with its reason.
 func (t *Trace) refused(fields log.Fields, r deny.Refusal) {
 	t.log.WithFields(fields).WithFields(log.Fields{
-		"kind":     string(r.Kind),
+		"refusal":  string(r.Kind),
 		"executed": string(r.Executed),
 		"cause":    r.Detail,
 		"retry-ms": r.RetryAfter.Milliseconds(),
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bramleywharf.example/core/cell"
@@ -62,6 +63,7 @@
 	cancel   context.CancelFunc
 	done     chan struct{}
 	deaths   *metrics.Counter
+	unlisted atomic.Bool // unlisted tells that the platform's list could not be read last time.
 
 	mu     sync.Mutex
 	self   member.Member
@@ -224,13 +226,20 @@
 func (f *Fleet) note(m member.Member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if m.State == member.Alive {
+	_, missed := f.since[m.Name]
+	line := f.log.WithFields(log.Fields{"peer": m.Name, "incarnation": m.Incarnation})
+	switch m.State {
+	case member.Alive:
+		if missed {
+			line.Info("member is alive again")
+		}
 		delete(f.since, m.Name)
 		return
-	}
-	if m.State == member.Dead {
+	case member.Suspect:
+		line.Info("member is suspect")
+	case member.Dead:
 		f.deaths.Inc()
-		f.log.WithField("member", m.Name).Warn("member is dead")
+		line.Warn("member is dead")
 	}
 	f.since[m.Name] = time.Now()
 }
--- a/entry/fleet/loop.go
+++ b/entry/fleet/loop.go
@@ -124,6 +124,12 @@
 // readAll lets the platform's list add members.
 func (f *Fleet) readAll(ctx context.Context) {
 	list, err := f.list.Instances(ctx)
+	switch failed := err != nil; {
+	case failed && !f.unlisted.Swap(true):
+		f.log.WithError(err).Warn("list of instances cannot be read; heartbeats carry the news")
+	case !failed && f.unlisted.Swap(false):
+		f.log.WithField("objects", len(list)).Info("list of instances is read again")
+	}
 	if err != nil {
 		return
 	}
@@ -191,7 +197,7 @@
 func (f *Fleet) push(ctx context.Context) {
 	var group sync.WaitGroup
 	for _, m := range f.some(pushFanout, "") {
-		group.Go(func() { _, _ = f.ask(ctx, m.PeerAddress, wire.Gossip{}) })
+		group.Go(func() { _, _ = f.ask(ctx, m.PeerAddress, wire.Gossip{}) }) // Whoever misses it is probed in turn, which decides.
 	}
 	group.Wait()
 }
@@ -217,7 +223,7 @@
 		return
 	}
 	m := dead[rand.IntN(len(dead))]
-	_, _ = f.ask(ctx, m.PeerAddress, wire.Gossip{Full: true})
+	_, _ = f.ask(ctx, m.PeerAddress, wire.Gossip{Full: true}) // It is most likely still dead; an answer makes it alive.
 }
 
 // some returns a few live members at random, leaving out this instance and one other.
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -270,22 +270,22 @@
 // note logs the end of an attempt that did not complete the stream.
 func (g *flight) note(pick *picker.Pick, result ending, began time.Time) {
 	fields := log.Fields{
-		"request": g.call.ID,
-		"target":  pick.Target.Name,
-		"domain":  pick.Target.Domain,
-		"service": g.service,
-		"sends":   g.sends,
-		"events":  g.events,
-		"last":    g.last,
-		"after":   time.Since(began).Milliseconds(),
-		"copy-at": g.copyAt(),
+		"request":  g.call.ID,
+		"target":   pick.Target.Name,
+		"domain":   pick.Target.Domain,
+		"service":  g.service,
+		"sends":    g.sends,
+		"events":   g.events,
+		"last":     g.last,
+		"after-ms": time.Since(began).Milliseconds(),
+		"holder":   g.copyAt(),
 	}
 	switch r := result.(type) {
 	case unrun:
 		g.sender.Log.WithFields(fields).WithField("cause", r.cause).Info("target did not run the stream")
 	case broken:
 		if !g.sent.IsZero() {
-			fields["silence"] = time.Since(g.sent).Milliseconds()
+			fields["silence-ms"] = time.Since(g.sent).Milliseconds()
 		}
 		g.sender.Log.WithFields(fields).WithField("cause", r.cause).Info("stream was cut")
 	case refusedBy:
--- a/entry/internal/steer/steer.go
+++ b/entry/internal/steer/steer.go
@@ -91,6 +91,7 @@
 func (s *Steer) extend(ctx context.Context, l fence.Lease, fresh bool) {
 	raw, err := json.Marshal(l)
 	if err != nil {
+		s.log.WithError(err).Error("lease cannot be encoded")
 		return
 	}
 	asked := time.Now()
@@ -137,6 +138,7 @@
 func (s *Steer) read(ctx context.Context) {
 	o, err := s.store.Get(ctx, kindLease, leaseName)
 	if err != nil {
+		s.log.WithError(err).Debug("lease is not known; asking again")
 		return
 	}
 	var l fence.Lease
@@ -177,6 +179,7 @@
 	}
 	snapshot, err := s.source.Current()
 	if err != nil {
+		s.log.WithError(err).Debug("no orders while the configuration is not known")
 		return
 	}
 	targets := slices.DeleteFunc(snapshot.Targets(), func(t conf.Target) bool { return len(t.Models) == 0 || t.Leaving })
--- a/entry/internal/watch/watch.go
+++ b/entry/internal/watch/watch.go
@@ -218,6 +218,7 @@
 	defer cancel()
 	answer, err := w.net.Ask(ctx, address, wire.PullConfig{After: w.Revision()})
 	if err != nil {
+		w.log.WithError(err).Debug("configuration cannot be pulled from a peer; another is next")
 		return
 	}
 	page, ok := answer.(wire.ConfigPage)
