fleet: a member that is held dead is told so whenever it is talked to

Cause: a member believed dead comes back only by refuting it with a higher incarnation, and learns of the belief only from news, which are told some 15 times and then dropped. Who was cut off or frozen for longer than that was never told: a new test in virtual time had 6 of 12 instances hold a member dead 20 s after the cut's end, and without a bound in time. Such an instance gets no callers from the directories of those that hold it dead. Change: a heartbeat to a member that is not believed alive always carries that belief. Who revisits dead members goes on while they answer, so that the two halves of a healed cut find each other in one turn, not one member in 2 s. Fleet tests (new): loss, return, one path cut, halves, leaving, elections without the list. Ruled out: taking a direct heartbeat as proof of life at the same incarnation: views would no longer merge to one result in any order. News without an end: a message holds 12, old ones would crowd out new ones. Bound of the test: 3 s after the heal; callers keep an address for 5 s, and have to find the machine 8 s after it is stable.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 # Tests in virtual time get one processor each: Go 1.26's race detector crashes now and then when two threads
 # run timers of one synctest bubble at once. The matrix is cut into parts that run beside each other.
-VIRTUAL := ./core/audit ./core/store ./entry/feed ./entry/filter ./entry/picker ./entry/internal/gate
+VIRTUAL := ./core/audit ./core/store ./entry/feed ./entry/filter ./entry/fleet ./entry/picker ./entry/internal/gate
 PROOF := ./entry/internal/proof
 PARTS := TestGenerationMatrix/^single TestGenerationMatrix/^twice TestGenerationMatrix/^pair TestOrderMatrix/^single TestOrderMatrix/^twice TestOrderMatrix/^pair
 
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -121,10 +121,10 @@
 		if _, err := f.ask(ctx, g.Forward, wire.Gossip{}); err != nil {
 			return wire.Failed{Reason: "no answer"}
 		}
-		return f.heartbeat(false)
+		return f.heartbeat(false, g.From.PeerAddress)
 	}
 	f.merge(g)
-	return f.heartbeat(g.Full)
+	return f.heartbeat(g.Full, g.From.PeerAddress)
 }
 
 // Leave tells the members that this instance takes no new work.
@@ -162,7 +162,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	forward, full := g.Forward, g.Full
-	g = f.heartbeat(false)
+	g = f.heartbeat(false, address)
 	g.Forward, g.Full = forward, full
 	answer, err := f.net.Ask(ctx, address, g)
 	if err != nil {
@@ -195,18 +195,24 @@
 	f.note(now)
 }
 
-// heartbeat returns what this instance tells others.
-func (f *Fleet) heartbeat(full bool) wire.Gossip {
+// heartbeat returns what this instance tells the member at an address. A member that is not believed to be alive is told so each time, since it alone can refute it and the news may have gone round without it.
+func (f *Fleet) heartbeat(full bool, to string) wire.Gossip {
 	g := wire.Gossip{
 		From:     f.Self(),
 		Revision: f.fresh.Revision(),
 		Age:      f.fresh.Age(),
 	}
-	if !full {
+	view := f.View()
+	if full {
+		g.Members = view.Live()
+	} else {
 		g.Members = f.news.take()
-		return g
 	}
-	g.Members = f.View().Live()
+	for _, m := range view.All() {
+		if m.PeerAddress == to && m.State != member.Alive {
+			g.Members = append(g.Members, m)
+		}
+	}
 	return g
 }
 
--- a/entry/fleet/loop.go
+++ b/entry/fleet/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -209,21 +210,20 @@
 	}
 }
 
-// revisit tries to reach one dead member, so that the sides of a healed partition find each other.
+// revisit tries to reach dead members until one does not answer, so that the sides of a healed partition find each other.
 func (f *Fleet) revisit(ctx context.Context) {
-	var dead []member.Member
-	f.mu.Lock()
-	for name := range f.since {
-		if m, ok := f.View().Get(name); ok && m.State == member.Dead {
-			dead = append(dead, m)
+	dead := f.dead()
+	rand.Shuffle(len(dead), func(i, j int) { dead[i], dead[j] = dead[j], dead[i] })
+	for _, m := range dead {
+		if _, err := f.ask(ctx, m.PeerAddress, wire.Gossip{Full: true}); err != nil {
+			return // It is most likely still dead; another is next in turn.
 		}
 	}
-	f.mu.Unlock()
-	if len(dead) == 0 {
-		return
-	}
-	m := dead[rand.IntN(len(dead))]
-	_, _ = f.ask(ctx, m.PeerAddress, wire.Gossip{Full: true}) // It is most likely still dead; an answer makes it alive.
+}
+
+// dead returns the members that are believed to be dead.
+func (f *Fleet) dead() []member.Member {
+	return slices.DeleteFunc(f.View().All(), func(m member.Member) bool { return m.State != member.Dead })
 }
 
 // some returns a few live members at random, leaving out this instance and one other.
