inst: a stopping instance closes all its parts

Cause: stop ended listeners and its context, but neither feeds, board, picker, fleet, swap nor peers; the sweeper of idle connections had no end at all and places were saved by a goroutine nobody waited for. They ended with the process, so nothing showed outside; another front that embeds an instance would have kept them. A TCP_USER_TIMEOUT that can't be set was passed over without a line. Change: what is started is remembered and closed in the opposite order once the start is over; sweeper and saver are controllers with a done channel like the others. The socket option is tried once at the start, and a line tells where the kernel refuses it. Ruled out: closing without waiting for the start: its goroutine still adds parts then.

--- a/entry/inst/idles.go
+++ b/entry/inst/idles.go
@@ -1,10 +1,13 @@
 package inst
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"bramleywharf.example/core/wait"
 )
 
 // sweepPeriod is the time between two looks at idle connections.
@@ -15,19 +18,30 @@
 	limit func() time.Duration
 	mu    sync.Mutex
 	since map[net.Conn]time.Time
+
+	cancel context.CancelFunc
+	done   chan struct{}
 }
 
-// newIdles returns a sweeper that looks at idle connections until the process ends.
+// newIdles returns a sweeper that looks at idle connections.
 func newIdles(limit func() time.Duration) *idles {
-	i := &idles{limit: limit, since: make(map[net.Conn]time.Time)}
+	ctx, cancel := context.WithCancel(context.Background())
+	i := &idles{limit: limit, since: make(map[net.Conn]time.Time), cancel: cancel, done: make(chan struct{})}
 	go func() {
-		for range time.Tick(sweepPeriod) {
+		defer close(i.done)
+		for wait.For(ctx, sweepPeriod) {
 			i.sweep(time.Now())
 		}
 	}()
 	return i
 }
 
+// Close stops the looks.
+func (i *idles) Close() {
+	i.cancel()
+	<-i.done
+}
+
 // note follows the state of a connection.
 func (i *idles) note(c net.Conn, s http.ConnState) {
 	i.mu.Lock()
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -101,10 +101,12 @@
 	leave    sync.Once
 	cancel   context.CancelFunc
 	failed   chan error
+	ran      chan struct{} // ran closes when the start is over, well or not.
 	done     chan struct{}
 
 	mu     sync.Mutex
 	others []*http.Server
+	parts  []func() // parts closes what was started, in the order of the starts.
 }
 
 // Start starts an instance; it is ready once it knows its configuration.
@@ -119,8 +121,12 @@
 		set:      set,
 		link:     link.New(link.Settings{EchoHeader: b.EchoHeader}, set),
 		failed:   make(chan error, 1),
+		ran:      make(chan struct{}),
 		done:     make(chan struct{}),
 	}
+	if err := link.CheckUserTimeout(); err != nil {
+		logger.WithError(err).Warn("unacknowledged bytes are noticed by probes alone")
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	if err := i.listen(s.Readiness, i.readiness()); err != nil {
@@ -130,6 +136,7 @@
 		return nil, err
 	}
 	go func() {
+		defer close(i.ran)
 		if err := i.run(ctx); err != nil && ctx.Err() == nil {
 			i.fail(err)
 		}
@@ -159,8 +166,12 @@
 	}
 	configs := feed.New(feed.Settings{Kind: i.borders.Config.Name, Pace: configPace}, i.borders.Config.Source, i.log, i.set)
 	servers := feed.New(feed.Settings{Kind: i.borders.Targets.Name, Pace: targetPace}, i.borders.Targets.Source, i.log, i.set)
+	i.part(configs.Close)
+	i.part(servers.Close)
 	i.board = board.New(configs, i.borders.DecodeConfig, i.log)
+	i.part(i.board.Close)
 	i.picker = picker.New(board.NewTargets(servers, i.borders.DecodeTarget, i.log), i.link.Drop, i.log, i.set)
+	i.part(i.picker.Close)
 	self := i.settings.Self
 	err = i.insist(ctx, "announce", func(ctx context.Context) (err error) {
 		self.Incarnation, err = i.borders.Join.Announce(ctx)
@@ -180,12 +191,16 @@
 	if err != nil {
 		return fmt.Errorf("start peer transport: %w", err)
 	}
+	i.part(i.peers.Close)
 	i.swap = feed.NewSwap(i.peers, i.picker, i.log, configs, servers)
 	members := fleet.New(fleet.Settings{Self: self, Seeds: i.settings.Seeds, ListPeriod: listPeriod}, i.peers, i.borders.Join, i.swap, i.log, i.set)
+	i.part(members.Close)
 	i.fleet.Store(members)
 	close(joined)
 	i.swap.Start(members)
-	go i.savePlaces(ctx, members)
+	i.part(i.swap.Close)
+	saver := newSaver(i, members)
+	i.part(saver.Close)
 	configs.Assign(members)
 	servers.Assign(members)
 	if err := i.learn(ctx, configs, servers); err != nil {
@@ -253,6 +268,7 @@
 	)
 	limits := i.board.Config().Limits
 	idles := newIdles(func() time.Duration { return i.board.Config().Limits.Idle })
+	i.part(idles.Close)
 	callers := &http.Server{
 		Handler:           i.borders.Front(handler, i.board),
 		ReadHeaderTimeout: limits.HeaderTimeout,
@@ -280,6 +296,13 @@
 	return i.serve(server, address)
 }
 
+// part remembers how to close what was started.
+func (i *Instance) part(closing func()) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.parts = append(i.parts, closing)
+}
+
 // readiness answers the platform's own checks.
 func (i *Instance) readiness() http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
--- a/entry/inst/leave.go
+++ b/entry/inst/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"bramleywharf.example/core/wait"
@@ -52,10 +53,14 @@
 	if callers := i.callers.Load(); callers != nil {
 		_ = callers.Close()
 	}
+	<-i.ran
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, s := range i.others {
 		_ = s.Close()
 	}
+	for _, closing := range slices.Backward(i.parts) {
+		closing()
+	}
 	i.link.Close()
 }
--- a/entry/inst/places.go
+++ b/entry/inst/places.go
@@ -12,12 +12,38 @@
 // savePeriod is the time between two writes of the places of sessions; a prompt takes a second to read, and each write is paid for.
 const savePeriod = 800 * time.Millisecond
 
-// savePlaces stores where sessions run while this instance is elected to, so that callers find their engine again when all instances were lost at once.
-func (i *Instance) savePlaces(ctx context.Context, members *fleet.Fleet) {
+// saver stores where sessions run while its instance is elected to, so that callers find their engine again when all instances were lost at once.
+type saver struct {
+	instance *Instance
+	members  *fleet.Fleet
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// newSaver returns a saver of an instance among members.
+func newSaver(i *Instance, members *fleet.Fleet) *saver {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &saver{instance: i, members: members, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		s.loop(ctx)
+	}()
+	return s
+}
+
+// Close stops saving.
+func (s *saver) Close() {
+	s.cancel()
+	<-s.done
+}
+
+// loop saves what has changed since the last time.
+func (s *saver) loop(ctx context.Context) {
+	i := s.instance
 	var saved map[string]string
 	failing := false
 	for wait.For(ctx, savePeriod) {
-		if !members.Elected("places", 1) {
+		if !s.members.Elected("places", 1) {
 			continue
 		}
 		places := i.picker.Places()
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -107,9 +107,27 @@
 	return net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
 }
 
-// SetUserTimeout bounds how long sent bytes may stay unacknowledged; where it is not supported, the probes remain.
+// CheckUserTimeout returns an error where the kernel does not bound how long sent bytes may stay unacknowledged; the probes remain then.
+func CheckUserTimeout() error {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return fmt.Errorf("open a socket: %w", err)
+	}
+	defer func() { _ = unix.Close(fd) }()
+	return setUserTimeout(fd)
+}
+
+// SetUserTimeout bounds how long sent bytes may stay unacknowledged; a connection serves without it as well, and CheckUserTimeout tells once where it fails.
 func SetUserTimeout(fd int) {
-	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	_ = setUserTimeout(fd)
+}
+
+// setUserTimeout sets the bound on a socket.
+func setUserTimeout(fd int) error {
+	if err := unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds())); err != nil {
+		return fmt.Errorf("set TCP_USER_TIMEOUT: %w", err)
+	}
+	return nil
 }
 
 // Close closes the idle connections.
