edge: benchmarks of a plain call and of an event on the whole path

Change: BenchmarkCall (a request that may repeat, and one that may not) and BenchmarkEvent run front, filters, choice of the target, link and metrics between a raw caller and a raw target, which are in the same process and in the figures; cpu-ns is processor time. `make bench` runs them. Next: what allocates.

--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 # Resume latency and extra engine work for each policy beside the plain restart; ROUNDS rounds each.
 bench: build
 	./hack/bench.sh
-	go test -run '^$$' -bench . -benchmem ./core/token ./entry/internal/relay
+	go test -run '^$$' -bench . -benchmem ./core/token ./entry/internal/relay ./platform/internal/edge
 
 # What each role costs at several sizes, fitted to the size to design for.
 slopes: build
