picker: an engine found under another id is used before it is listed

(2) Where just one service has engines, the target at the address is asked for its report; if an engine made it, it takes the ended one's place (site.Heirs) until the platform lists it, and peers are told in their statements. One that isn't listed 2 s after the store has settled is taken as gone. A request is always addressed to the id that the 421 named, so a third target refuses it. Ruled out: to take the place by time alone (an address isn't given to another service within 2 s of its end): the end isn't known. Plain services: they have no report, and a false inference would break ROUTE. To use the id without the question: a reused address may hold another service.

--- a/core/site/config.go
+++ b/core/site/config.go
@@ -100,6 +100,17 @@
 	return o, ok
 }
 
+// IsOnlyEngine tells whether a service has model engines and no other has.
+func (c *Config) IsOnlyEngine(name string) bool {
+	for _, s := range c.services {
+		if (s.Engine != nil) != (s.Name == name) {
+			return false
+		}
+	}
+	_, ok := c.services[name]
+	return ok
+}
+
 // Keyed tells whether callers need keys at all.
 func (c *Config) Keyed() bool {
 	return c.keyed
--- /dev/null
+++ b/core/site/heir_test.go
@@ -0,0 +1,78 @@
+package site
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+func TestHeirs(t *testing.T) {
+	now := time.Now()
+	a := Target{Name: "a", Service: "s", Address: "1", Domain: "x", Started: 7, Revision: 3}
+	b := Target{Name: "b", Service: "s", Address: "2", Domain: "y", Started: 8, Revision: 4}
+	heir := func(of Target, name string, age time.Duration) Heir {
+		return Heir{Of: of, Name: name, Found: now.Add(-age)}
+	}
+	with := func(t Target, name string) Target {
+		t.Name, t.Started = name, 0
+		return t
+	}
+	again := a
+	again.Started = 9
+	moved := a
+	moved.Address = "3"
+	leaving := a
+	leaving.Leaving = true
+	cases := map[string]struct {
+		heirs   []Heir
+		targets []Target
+		settled bool
+		want    []Target
+		left    int // left counts the heirs that are still needed.
+	}{
+		"none":                       {targets: []Target{a, b}, want: []Target{a, b}},
+		"in-its-place":               {heirs: []Heir{heir(a, "c", 0)}, targets: []Target{a, b}, want: []Target{with(a, "c"), b}, left: 1},
+		"of-an-heir":                 {heirs: []Heir{heir(a, "c", time.Second), heir(with(a, "c"), "d", 0)}, targets: []Target{a, b}, want: []Target{with(a, "d"), b}, left: 1},
+		"older-news-is-no-news":      {heirs: []Heir{heir(a, "c", 0), heir(a, "d", time.Second)}, targets: []Target{a}, want: []Target{with(a, "c")}, left: 1},
+		"listed-itself":              {heirs: []Heir{heir(a, "b", 0)}, targets: []Target{a, b}, want: []Target{b}, left: 1},
+		"followed-one-is-gone":       {heirs: []Heir{heir(a, "c", 0)}, targets: []Target{b}, want: []Target{b}},
+		"followed-one-started-again": {heirs: []Heir{heir(a, "c", 0)}, targets: []Target{again}, want: []Target{again}},
+		"followed-one-moved":         {heirs: []Heir{heir(a, "c", 0)}, targets: []Target{moved}, want: []Target{moved}},
+		"followed-one-was-leaving":   {heirs: []Heir{heir(a, "c", 0)}, targets: []Target{leaving}, want: []Target{with(a, "c")}, left: 1},
+		"young-and-settled":          {heirs: []Heir{heir(a, "c", time.Second)}, targets: []Target{a, b}, settled: true, want: []Target{with(a, "c"), b}, left: 1},
+		"old-and-not-settled":        {heirs: []Heir{heir(a, "c", time.Hour)}, targets: []Target{a, b}, want: []Target{with(a, "c"), b}, left: 1},
+		"old-and-settled":            {heirs: []Heir{heir(a, "c", 3*time.Second)}, targets: []Target{a, b}, settled: true, want: []Target{b}, left: 1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			var h Heirs
+			for _, next := range test.heirs {
+				h, _ = h.WithHeir(next)
+			}
+			got, left := h.Apply(test.targets, now, test.settled)
+			c.Assert(got, quicktest.DeepEquals, test.want)
+			c.Assert(left.Len(), quicktest.Equals, test.left)
+		})
+	}
+}
+
+func TestFollows(t *testing.T) {
+	old := Target{Name: "a", Address: "1", Started: 7}
+	cases := map[string]struct {
+		old, now Target
+		want     bool
+	}{
+		"same":                {old, old, true},
+		"started-again":       {old, Target{Name: "a", Address: "1", Started: 8}, false},
+		"moved":               {old, Target{Name: "a", Address: "2", Started: 7}, false},
+		"start-becomes-known": {Target{Name: "a", Address: "1"}, old, true},
+		"another":             {old, Target{Name: "b", Address: "1", Started: 7}, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			quicktest.Assert(t, test.now.Follows(test.old), quicktest.Equals, test.want)
+		})
+	}
+}
--- a/core/site/target.go
+++ b/core/site/target.go
@@ -15,10 +15,15 @@
 	Domain   string
 	Slots    int
 	Leaving  bool  // Leaving targets get no new work.
-	Started  int64 // Started tells one start of a target from the next under the same name.
+	Started  int64 // Started tells one start of a target from the next under the same name; 0 is not known yet.
 	Revision uint64
 }
 
+// Follows tells whether a target is the same start of the same target as an older one, as far as both are known.
+func (t Target) Follows(old Target) bool {
+	return t.Name == old.Name && t.Address == old.Address && (t.Started == old.Started || old.Started == 0)
+}
+
 // Roster is what is known of all targets; its values are never changed after construction.
 type Roster struct {
 	targets  map[string]Target
@@ -84,7 +89,7 @@
 	}
 	for name, was := range maps.All(old.targets) {
 		is, ok := r.targets[name]
-		if !ok || is.Started != was.Started || is.Address != was.Address {
+		if !ok || !is.Follows(was) {
 			moved[name] = true
 		}
 	}
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -161,6 +161,16 @@
 	Runs     []RunPlace   `cbor:"4,keyasint,omitempty"` // Runs tells where its streams run.
 	Spent    []Usage      `cbor:"5,keyasint,omitempty"` // Spent holds what it sent to each service lately.
 	Lost     []DomainLoss `cbor:"6,keyasint,omitempty"` // Lost tells where it lost targets lately.
+	Heirs    []Heir       `cbor:"7,keyasint,omitempty"` // Heirs tells which targets it found at the addresses of others.
+}
+
+// Heir tells that an instance found a target at the address of another one of its service.
+type Heir struct {
+	Name    string        `cbor:"1,keyasint"`
+	Of      string        `cbor:"2,keyasint"` // Of names the target that it follows, Started and Address are that one's.
+	Started int64         `cbor:"3,keyasint"`
+	Address string        `cbor:"4,keyasint"`
+	Age     time.Duration `cbor:"5,keyasint"`
 }
 
 // DomainLoss tells how long ago an instance lost a target of a failure domain.
--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -44,6 +44,7 @@
 // unrun says that the target has not run the request.
 type unrun struct {
 	sent  bool // sent tells that the target had it and refused.
+	moved bool // moved tells that another target refused it, since the one it was meant for has ended.
 	lost  bool // lost tells that the target could not be reached.
 	cause string
 }
@@ -115,9 +116,11 @@
 		_, _ = reply.Whole() // The body says nothing; it is read so that the connection can be kept.
 		g.swapCopy(nil)
 		if v.Misdirected {
-			pick.Gone()
+			// The target that it was sent to is not there, so this one does not count among those that had the request.
+			g.sends--
+			g.sender.Misdirected(ctx, g.call, pick, v.Holder)
 		}
-		return unrun{sent: true, cause: fmt.Sprintf("status %d", reply.Status())}
+		return unrun{sent: true, moved: v.Misdirected, cause: fmt.Sprintf("status %d", reply.Status())}
 	case send.Unsigned:
 		return broken{cause: fmt.Sprintf("response with status %d proves nothing", reply.Status())}
 	}
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -216,9 +216,9 @@
 
 // again tells whether the stream may go on at another target.
 func (g *flight) again(result ending) (chain.Answer, bool) {
-	if r, ok := result.(unrun); ok && !r.sent {
+	if r, ok := result.(unrun); ok && (!r.sent || r.moved) {
 		g.unsent++
-		if g.unsent <= maxUnsent {
+		if g.unsent <= maxUnsent && (!r.moved || g.sender.Repeat(g.service)) {
 			return nil, false
 		}
 	}
--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -47,7 +47,8 @@
 
 // notRun is a target's promise that the request has not run.
 type notRun struct {
-	status int
+	status      int
+	misdirected bool // misdirected tells that the target it was meant for has ended.
 }
 
 // notSent says that the target never had the request.
@@ -122,6 +123,9 @@
 		}
 		return e.conclude("targets cannot be reached"), true
 	}
+	if r, ok := result.(notRun); ok && r.misdirected && e.unsent < maxUnsent && e.sender.Repeat(e.service) {
+		return nil, false
+	}
 	switch {
 	case !e.idempotent && e.ran:
 		return e.conclude("its target failed"), true
@@ -205,7 +209,7 @@
 	if err != nil {
 		return lost{err: err}
 	}
-	return e.verdict(pick, reply, body, time.Since(began))
+	return e.verdict(ctx, pick, reply, body, time.Since(began))
 }
 
 // patience returns how long one target is waited for: to the end if no other may be asked.
@@ -218,14 +222,17 @@
 }
 
 // verdict returns what a whole response says.
-func (e *errand) verdict(pick *picker.Pick, reply *link.Reply, body []byte, took time.Duration) outcome {
+func (e *errand) verdict(ctx context.Context, pick *picker.Pick, reply *link.Reply, body []byte, took time.Duration) outcome {
 	status := reply.Status()
 	switch v := e.sender.Dialect.Judge(status, reply.Header()).(type) {
 	case send.NotRun:
 		if v.Misdirected {
-			pick.Gone()
+			// The target that it was sent to is not there, so this one does not count among those that had the request.
+			e.sends--
+			e.unsent++
+			e.sender.Misdirected(ctx, e.call, pick, v.Holder)
 		}
-		return notRun{status: status}
+		return notRun{status: status, misdirected: v.Misdirected}
 	case send.Signed:
 		if status < 500 {
 			pick.Succeeded(took)
--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -112,7 +112,7 @@
 func (p *Picker) IsSound(target site.Target) bool {
 	t := p.table.Load()
 	now, ok := t.roster.Get(target.Name)
-	return ok && !now.Leaving && now.Started == target.Started && now.Address == target.Address &&
+	return ok && !now.Leaving && now.Follows(target) &&
 		!t.states[target.Name].belief.Load().Suspect(time.Now())
 }
 
@@ -168,12 +168,14 @@
 	k.state.update(func(b health.Belief) health.Belief { return b.WithFailure(time.Now()) })
 }
 
-// Gone notes that another target answered at the address, so that this one has ended.
-func (k *Pick) Gone() {
-	if !k.state.belief.Load().Gone() {
+// Gone notes that another target answered at the address, so that this one has ended, and tells whether that is news.
+func (k *Pick) Gone() bool {
+	known := k.state.belief.Load().Gone()
+	if !known {
 		k.picker.log.WithFields(log.Fields{"target": k.Target.Name, "address": k.Target.Address, "revision": k.Target.Revision}).Warn("another target has the address")
 	}
 	k.state.update(health.Belief.WithEnd)
+	return !known
 }
 
 // Heard notes a sign of life.
--- a/entry/picker/loads.go
+++ b/entry/picker/loads.go
@@ -64,6 +64,9 @@
 	if usage := p.usage.Load(); usage != nil {
 		l.Spent = (*usage)()
 	}
+	for _, h := range p.heirs.Load().All() {
+		l.Heirs = append(l.Heirs, wire.Heir{Name: h.Name, Of: h.Of.Name, Started: h.Of.Started, Address: h.Of.Address, Age: time.Since(h.Found)})
+	}
 	return l
 }
 
@@ -82,15 +85,18 @@
 // Merge takes what a peer knows, the newest statement of each instance.
 func (p *Picker) Merge(loads []wire.Load) {
 	now := time.Now()
+	var heirs []wire.Heir
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	for _, l := range loads {
 		if known, ok := p.heard[l.Instance]; l.Instance != p.name && (!ok || l.Sequence > known.load.Sequence) {
 			p.heard[l.Instance] = statement{load: l, heard: now}
 			p.notice(l.Lost, now)
+			heirs = append(heirs, l.Heirs...)
 		}
 	}
 	p.spread(now)
+	p.mu.Unlock()
+	p.inherit(heirs, now)
 }
 
 // notice takes the losses of another instance as evidence of the same kind as its own.
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -31,8 +31,7 @@
 
 // state is what this instance keeps of one start of a target.
 type state struct {
-	started int64
-	address string
+	target  site.Target // target is the one that it was made for.
 	flying  atomic.Int64                    // flying counts the requests of this instance that are running there.
 	streams atomic.Int64                    // streams counts the streams among them.
 	reading atomic.Int64                    // reading counts the prompt tokens that it has not read yet.
@@ -57,6 +56,8 @@
 	losses *metrics.Counter
 	dark   sync.Map                            // dark holds when a target of each failure domain was lost last, as a time.Time.
 	usage  atomic.Pointer[func() []wire.Usage] // usage tells what this instance sent lately, or is nil.
+	heirs  *cell.Cell[site.Heirs]              // heirs holds the targets that were found before they were listed, here or by a peer.
+	turn   sync.Mutex                          // turn lets one goroutine reconcile at a time.
 	cancel context.CancelFunc
 	done   chan struct{}
 
@@ -76,6 +77,7 @@
 		gone:   gone,
 		log:    logger,
 		table:  cell.New(table{roster: (&site.Roster{}).WithTargets(nil, time.Now(), 0)}),
+		heirs:  cell.New(site.Heirs{}),
 		began:  time.Now(),
 		heard:  make(map[string]statement),
 		places: make(map[string]place),
@@ -110,7 +112,7 @@
 		changed := p.source.Changed()
 		p.reconcile()
 		var lapsed <-chan time.Time
-		if p.table.Load().roster.Lapsed() {
+		if p.table.Load().roster.Lapsed() || p.heirs.Load().Len() > 0 {
 			lapsed = time.After(refresh)
 		}
 		select {
@@ -124,11 +126,17 @@
 
 // reconcile takes the declared targets into the table.
 func (p *Picker) reconcile() {
-	keep := keepLapse
-	if p.source.Settled() {
+	p.turn.Lock()
+	defer p.turn.Unlock()
+	keep, settled := keepLapse, p.source.Settled()
+	if settled {
 		keep = 0
 	}
 	targets := p.source.Targets()
+	p.heirs.Update(func(h site.Heirs) site.Heirs {
+		targets, h = h.Apply(targets, time.Now(), settled)
+		return h
+	})
 	var old, next *site.Roster
 	p.table.Update(func(t table) table {
 		old, next = t.roster, t.roster.WithTargets(targets, time.Now(), keep)
@@ -139,12 +147,12 @@
 		p.gone(was.Address)
 		p.log.WithFields(log.Fields{"target": name, "address": was.Address, "revision": was.Revision}).Info("target is gone or started again")
 	}
-	p.logChanges(old, next)
+	p.logChanges(old, targets)
 }
 
 // logChanges logs targets that are new or leave.
-func (p *Picker) logChanges(old, next *site.Roster) {
-	for _, t := range p.source.Targets() {
+func (p *Picker) logChanges(old *site.Roster, targets []site.Target) {
+	for _, t := range targets {
 		was, known := old.Get(t.Name)
 		fields := log.Fields{"target": t.Name, "address": t.Address, "service": t.Service, "domain": t.Domain, "revision": t.Revision}
 		switch {
@@ -161,11 +169,11 @@
 	next := make(map[string]*state, roster.Len())
 	for _, target := range roster.All() {
 		old, ok := t.states[target.Name]
-		if ok && old.started == target.Started && old.address == target.Address {
+		if ok && target.Follows(old.target) {
 			next[target.Name] = old
 			continue
 		}
-		fresh := &state{started: target.Started, address: target.Address}
+		fresh := &state{target: target}
 		fresh.belief.Store(&health.Belief{})
 		fresh.others.Store(&wire.TargetLoad{})
 		next[target.Name] = fresh
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -56,7 +56,8 @@
 
 // NotRun responses promise that the request has not run and never will.
 type NotRun struct {
-	Misdirected bool // Misdirected tells that another target has the address.
+	Misdirected bool   // Misdirected tells that another target has the address.
+	Holder      string // Holder names that target, or is empty.
 }
 
 // Unsigned responses prove nothing.
@@ -78,6 +79,8 @@
 	Ask(target site.Target) link.Request
 	// Progress returns how far a request has come at a target, by the response to that call.
 	Progress(id string, body []byte) (Progress, error)
+	// IsEngine tells by the response to that call whether a model engine made it.
+	IsEngine(status int, body []byte) bool
 	// Drop returns the call that frees such a copy.
 	Drop(s Source) link.Request
 	// Judge returns what a response says of itself.
