--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -63,6 +63,16 @@
 func (broken) isEnding()    {}
 func (unwanted) isEnding()  {}
 
+// run is one attempt on its way.
+type run struct {
+	flight *flight
+	pick   *picker.Pick
+	guard  *guard
+	reply  *link.Reply
+	source send.Source
+	backup site.Target // backup is the target that keeps a copy of the run, or the zero value.
+}
+
 // attempt runs the stream at one target, from a copy if its address is given.
 func (g *flight) attempt(ctx context.Context, pick *picker.Pick, source send.Source) ending {
 	g.steady = false
@@ -88,7 +98,8 @@
 		return broken{cause: g.cause(ctx, err)}
 	}
 	defer reply.Close()
-	return g.read(ctx, pick, reply, guard, s, backup)
+	r := &run{flight: g, pick: pick, guard: guard, reply: reply, source: source, backup: backup}
+	return r.read(ctx)
 }
 
 // backupFor returns the target that keeps a copy of the stream while another runs it, other than one that has just refused.
@@ -110,7 +121,8 @@
 }
 
 // read takes the response of a target.
-func (g *flight) read(ctx context.Context, pick *picker.Pick, reply *link.Reply, guard *guard, s send.Send, backup site.Target) ending {
+func (r *run) read(ctx context.Context) ending {
+	g, reply := r.flight, r.reply
 	switch v := g.sender.Dialect.Judge(reply.Status(), reply.Header()).(type) {
 	case send.NotRun:
 		_, _ = reply.Whole() // The body says nothing; it is read so that the connection can be kept.
@@ -118,7 +130,7 @@
 		if v.Misdirected {
 			// The target that it was sent to is not there, so this one does not count among those that had the request.
 			g.sends--
-			g.sender.Misdirected(ctx, g.call, pick, v.Holder)
+			g.sender.Misdirected(ctx, g.call, r.pick, v.Holder)
 		}
 		return unrun{sent: true, moved: v.Misdirected, cause: fmt.Sprintf("status %d", reply.Status())}
 	case send.Unsigned:
@@ -132,12 +144,13 @@
 		}
 		return refusedBy{passed: chain.Passed{Head: head, Body: body, Sends: g.sends + g.unsent}}
 	}
-	return g.copyEvents(ctx, pick, reply, head, guard, s, backup)
+	return r.copyEvents(ctx, head)
 }
 
 // copyEvents passes whole events on until the stream ends.
-func (g *flight) copyEvents(ctx context.Context, pick *picker.Pick, reply *link.Reply, head chain.Head, guard *guard, s send.Send, backup site.Target) ending {
-	stream := newEvents(reply)
+func (r *run) copyEvents(ctx context.Context, head chain.Head) ending {
+	g := r.flight
+	stream := newEvents(r.reply)
 	first := true
 	for {
 		e, err := stream.next()
@@ -149,13 +162,13 @@
 		case !follows(g.last, e.id):
 			return broken{cause: fmt.Sprintf("event %s came after event %s", e.id, g.last)}
 		}
-		guard.hear()
+		r.guard.hear()
 		if first {
 			first = false
-			pick.Read()
-			pick.Heard()
-			g.noteResumed(s.Source)
-			g.growCopy(backup)
+			r.pick.Read()
+			r.pick.Heard()
+			g.noteResumed(r.source)
+			g.growCopy(r.backup)
 		}
 		if err := g.deliver(head, e); err != nil {
 			return unwanted{}
