site: an heir that was listed once counts no longer

Its logs show the way: the engine had started again at the address of i-02aff74baa and was used before it was listed; both entries stood in the store for seconds, since the older one lapses after three heartbeats. If the younger one is removed while the older one still stands, Apply put the heir back into the older one's place. Change: an heir remembers that it was listed; from then on the list alone counts. Test first: TestHeirs/listed-and-then-removed failed. Beside it: "target is new" was logged at each change for an entry whose address a newer one has, 15 times in that log. TestChangesAreLoggedOnce had a twice, once now.

--- a/core/site/heir.go
+++ b/core/site/heir.go
@@ -11,9 +11,10 @@
 
 // Heir is a target that was found at the address of another one of its service, before the platform listed it.
 type Heir struct {
-	Of    Target // Of is the target that it follows.
-	Name  string
-	Found time.Time
+	Of     Target // Of is the target that it follows.
+	Name   string
+	Found  time.Time
+	listed bool // listed tells that the platform has listed it since, so that its list alone counts.
 }
 
 // Heirs holds heirs by the names of the targets that they follow; its values are never changed after construction.
@@ -31,7 +32,7 @@
 	return len(h.byName)
 }
 
-// Apply returns the targets with heirs in the places of those that they follow, and the heirs that are still needed for that. A target that is followed has ended, so it is left out also when its heir is listed itself or is given up; settled tells that what the platform does not list is gone.
+// Apply returns the targets with heirs in the places of those that they follow, and the heirs that are still needed for that. A target that is followed has ended, so it is left out also when its heir has been listed itself or is given up; settled tells that what the platform does not list is gone.
 func (h Heirs) Apply(targets []Target, now time.Time, settled bool) ([]Target, Heirs) {
 	listed := make(map[string]bool, len(targets))
 	for _, t := range targets {
@@ -45,8 +46,9 @@
 			applied = append(applied, t)
 			continue
 		}
+		heir.listed = heir.listed || listed[heir.Name]
 		next.byName[t.Name] = heir
-		if listed[heir.Name] || settled && now.Sub(heir.Found) > heirLife {
+		if heir.listed || settled && now.Sub(heir.Found) > heirLife {
 			continue
 		}
 		t.Name, t.Started, t.Leaving = heir.Name, 0, false
--- a/core/site/heir_test.go
+++ b/core/site/heir_test.go
@@ -26,6 +26,7 @@
 	leaving.Leaving = true
 	cases := map[string]struct {
 		heirs   []Heir
+		before  []Target // before holds the targets that were listed a moment ago, or none.
 		targets []Target
 		settled bool
 		want    []Target
@@ -36,6 +37,7 @@
 		"of-an-heir":                 {heirs: []Heir{heir(a, "c", time.Second), heir(with(a, "c"), "d", 0)}, targets: []Target{a, b}, want: []Target{with(a, "d"), b}, left: 1},
 		"older-news-is-no-news":      {heirs: []Heir{heir(a, "c", 0), heir(a, "d", time.Second)}, targets: []Target{a}, want: []Target{with(a, "c")}, left: 1},
 		"listed-itself":              {heirs: []Heir{heir(a, "b", 0)}, targets: []Target{a, b}, want: []Target{b}, left: 1},
+		"listed-and-then-removed":    {heirs: []Heir{heir(a, "c", 0)}, before: []Target{a, with(a, "c")}, targets: []Target{a, b}, want: []Target{b}, left: 1},
 		"followed-one-is-gone":       {heirs: []Heir{heir(a, "c", 0)}, targets: []Target{b}, want: []Target{b}},
 		"followed-one-started-again": {heirs: []Heir{heir(a, "c", 0)}, targets: []Target{again}, want: []Target{again}},
 		"followed-one-moved":         {heirs: []Heir{heir(a, "c", 0)}, targets: []Target{moved}, want: []Target{moved}},
@@ -51,6 +53,9 @@
 			for _, next := range test.heirs {
 				h, _ = h.WithHeir(next)
 			}
+			if test.before != nil {
+				_, h = h.Apply(test.before, now, test.settled)
+			}
 			got, left := h.Apply(test.targets, now, test.settled)
 			c.Assert(got, quicktest.DeepEquals, test.want)
 			c.Assert(left.Len(), quicktest.Equals, test.left)
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -31,7 +31,7 @@
 
 // state is what this instance keeps of one start of a target.
 type state struct {
-	target  site.Target // target is the one that it was made for.
+	target  site.Target                     // target is the one that it was made for.
 	flying  atomic.Int64                    // flying counts the requests of this instance that are running there.
 	streams atomic.Int64                    // streams counts the streams among them.
 	reading atomic.Int64                    // reading counts the prompt tokens that it has not read yet.
@@ -147,12 +147,12 @@
 		p.gone(was.Address)
 		p.log.WithFields(log.Fields{"target": name, "address": was.Address, "revision": was.Revision}).Info("target is gone or started again")
 	}
-	p.logChanges(old, targets)
+	p.logChanges(old, next)
 }
 
 // logChanges logs targets that are new or leave.
-func (p *Picker) logChanges(old *site.Roster, targets []site.Target) {
-	for _, t := range targets {
+func (p *Picker) logChanges(old, next *site.Roster) {
+	for _, t := range next.All() {
 		was, known := old.Get(t.Name)
 		fields := log.Fields{"target": t.Name, "address": t.Address, "service": t.Service, "domain": t.Domain, "revision": t.Revision}
 		switch {
--- a/entry/picker/picker_test.go
+++ b/entry/picker/picker_test.go
@@ -1,6 +1,8 @@
 package picker
 
 import (
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/frankban/quicktest"
 )
 
@@ -184,3 +187,59 @@
 		})
 	}
 }
+
+// TestChangesAreLoggedOnce checks that an entry whose address another target has taken is not logged as new again and again.
+func TestChangesAreLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		source := &moving{fixed: fixed{changed: make(chan struct{})}}
+		handler := memory.New()
+		p := New(source, func(string) {}, &log.Logger{Handler: handler, Level: log.InfoLevel}, metrics.NewSet())
+		defer p.Close()
+		a := site.Target{Name: "a", Service: "s", Address: "1", Revision: 1}
+		b := site.Target{Name: "b", Service: "s", Address: "1", Revision: 2}
+		other := site.Target{Name: "c", Service: "s", Address: "3", Revision: 3}
+		for _, targets := range [][]site.Target{{a}, {a, b}, {a, b, other}, {a, b, other}, {b, other}} {
+			synctest.Wait()
+			source.set(targets)
+		}
+		synctest.Wait()
+		var names []string
+		for _, e := range handler.Entries {
+			if e.Message == "target is new" {
+				names = append(names, e.Fields.Get("target").(string))
+			}
+		}
+		slices.Sort(names)
+		c.Assert(names, quicktest.DeepEquals, []string{"b", "c"})
+	})
+}
+
+// moving is a source whose targets a test sets.
+type moving struct {
+	fixed
+	mu sync.Mutex
+}
+
+// Changed returns a channel that closes at the next change.
+func (m *moving) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+// Targets returns the targets.
+func (m *moving) Targets() []site.Target {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.targets
+}
+
+// set changes the targets.
+func (m *moving) set(targets []site.Target) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.targets = targets
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
