soak: targets that start again under another name at their address

Change: Restart, twice as often as other faults; the store learns of it at the fault's end, also while it doesn't answer. Engines of the stand-in report what they run.

--- a/lab/internal/soak/plan.go
+++ b/lab/internal/soak/plan.go
@@ -18,7 +18,7 @@
 	quietBefore = 4 * time.Second        // quietBefore is the time without new faults before the end, in which everything has to come back.
 )
 
-// Fault is the sealed set of what a plan does: Signal, StoreFault, LinkFault, Conduct, Revoke and Replace.
+// Fault is the sealed set of what a plan does: Signal, StoreFault, LinkFault, Conduct, Revoke, Replace and Restart.
 type Fault interface {
 	isFault()
 }
@@ -60,12 +60,16 @@
 	Notice bool // Notice tells that the target says that it leaves before.
 }
 
+// Restart starts a target again under a new name at its address; the store learns of it late.
+type Restart struct{}
+
 func (Signal) isFault()     {}
 func (StoreFault) isFault() {}
 func (LinkFault) isFault()  {}
 func (Conduct) isFault()    {}
 func (Revoke) isFault()     {}
 func (Replace) isFault()    {}
+func (Restart) isFault()    {}
 
 // Event is a fault at a time, for a length, at the thing with a number.
 type Event struct {
@@ -88,7 +92,7 @@
 		StoreFault{Fault: stand.Silent}, StoreFault{Fault: stand.Busy}, StoreFault{Fault: stand.Lossy}, StoreFault{Fault: stand.Silent, All: true}, StoreFault{Deafen: true},
 		LinkFault{Mode: Slow}, LinkFault{Mode: Cut}, LinkFault{Mode: Mute}, LinkFault{Mode: MuteBack}, LinkFault{Mode: Mute, Store: true}, LinkFault{Mode: Cut, Store: true},
 		Conduct{Name: "cut"}, Conduct{Name: "mute"}, Conduct{Name: "reset"}, Conduct{Name: "shed"}, Conduct{Name: "stray"}, Conduct{Name: "short"}, Conduct{Name: "failed"},
-		Revoke{}, Replace{}, Replace{Notice: true},
+		Revoke{}, Replace{}, Replace{Notice: true}, Restart{}, Restart{},
 	}
 	var events []Event
 	for at := firstFault; at < length-quietBefore; at += time.Duration(r.ExpFloat64() * float64(meanPause)) {
--- a/lab/internal/soak/world.go
+++ b/lab/internal/soak/world.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -165,6 +166,8 @@
 		w.configure()
 	case Replace:
 		w.replace(ctx, e.Thing, f.Notice)
+	case Restart:
+		heal = w.restart(e.Thing)
 	}
 	select {
 	case <-ctx.Done():
@@ -222,11 +225,34 @@
 	w.store.Forsake(t.Target)
 }
 
+// restart starts a target again under a new name at its address, and returns what tells the store.
+func (w *world) restart(number int) (heal func()) {
+	t := w.pick(number)
+	w.mu.Lock()
+	w.number++
+	next := fmt.Sprintf("%s-%d", t.service, w.number)
+	zone := fmt.Sprintf("z%d", w.number%zones)
+	w.mu.Unlock()
+	old := t.Name()
+	t.Restart(next)
+	t.proxy.Set(Cut)
+	t.proxy.Set(Clear)
+	return func() {
+		w.mu.Lock()
+		there := slices.Contains(w.targets, t)
+		w.mu.Unlock()
+		if there && t.Name() == next {
+			w.store.Declare(t.Target, t.service, zone, false)
+		}
+		w.store.Delete("servers", old)
+	}
+}
+
 // conduct returns the behaviour of a target of a service.
 func conduct(service, name string) stand.Behaviour {
 	b := stand.Behaviour{Delay: 5 * time.Millisecond}
 	if service == "engine" {
-		b.Events, b.Pace = 60, eventPace
+		b.Events, b.Pace, b.Engine = 60, eventPace, true
 	}
 	switch name {
 	case "cut":
