feed: those that step in last ask a store that is away at a longer interval

Change: a quarter of the fleet (8 at the least) goes on as before and notices the store's return; the rest waits 2.4 s after a failed call. Ruled out: to leave the rest out altogether: with most machines refused by the store, or one cut off from its peers, the quarter may be just those. Measured: TestOutageCalls: 16 calls of one of the rest in ten seconds before, at most 5 after; watchers, the quarter and fleets of 7 as before. Small sites: no change, all are among the eight.

--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -18,6 +18,7 @@
 	watchWait   = 700 * time.Millisecond  // watchWait is how long one watch waits; a store that dropped its history leaves watches without an answer, and changes have to be in force in 2 s.
 	callTimeout = 600 * time.Millisecond  // callTimeout bounds a list, and a watch beyond its wait.
 	backoffBase = 150 * time.Millisecond  // backoffBase is the first wait after a failed call.
+	backoffRest = 2400 * time.Millisecond // backoffRest is the wait of those that step in last: the others notice the return, unless they alone are cut off, and failed calls are paid for as well.
 	backoffMax  = 600 * time.Millisecond  // backoffMax bounds that wait, so that a store that returns is noticed well within two seconds.
 	dutyPause   = 100 * time.Millisecond  // dutyPause is the time between two looks at one's duty.
 	dutyKept    = 2500 * time.Millisecond // dutyKept is how long an instance that stepped in goes on.
@@ -203,7 +204,7 @@
 	case age > stepInAll:
 		return size
 	case age > stepInMore:
-		return max(4*watchers, size/4)
+		return more(size)
 	case age > stepInFirst:
 		return 2 * watchers
 	default:
@@ -211,6 +212,11 @@
 	}
 }
 
+// more returns how many instances ask the store at once where the few that always do cannot reach it.
+func more(size int) int {
+	return max(4*watchers, size/4)
+}
+
 // levels returns how often news is passed on until it has reached every instance of a fleet, at the most.
 func levels(size int) int {
 	count := 1
@@ -265,8 +271,7 @@
 		return
 	case err != nil:
 		s.fail(err)
-		wait.For(ctx, s.pause)
-		s.pause = min(2*s.pause, backoffMax)
+		wait.For(ctx, s.backoff())
 		return
 	}
 	s.succeed(page, began)
@@ -289,6 +294,17 @@
 	return page, err
 }
 
+// backoff returns how long to wait after a failed call.
+func (s *asker) backoff() time.Duration {
+	f := s.feed
+	if d := f.duties.Load(); d != nil && !(*d).Elected("feed/"+f.settings.Kind, more((*d).Size())) {
+		return backoffRest
+	}
+	pause := s.pause
+	s.pause = min(2*pause, backoffMax)
+	return pause
+}
+
 // fail notes a failed call.
 func (s *asker) fail(err error) {
 	if !s.lost {
--- a/entry/feed/feed_test.go
+++ b/entry/feed/feed_test.go
@@ -167,6 +167,55 @@
 	})
 }
 
+// place is an instance's place in the order of a fleet.
+type place struct {
+	place, size int
+}
+
+// Elected tells whether the instance is one of the first.
+func (p place) Elected(_ string, count int) bool { return p.place < count }
+
+// Size returns the size of the fleet.
+func (p place) Size() int { return p.size }
+
+// Push does nothing.
+func (p place) Push() {}
+
+// TestOutageCalls checks what an instance asks of a store that refuses every call for ten seconds, and when it notices the return.
+func TestOutageCalls(t *testing.T) {
+	cases := map[string]struct {
+		place  place
+		calls  int           // calls bounds those during the outage.
+		notice time.Duration // notice bounds the time until the store's return is known.
+	}{
+		"watcher":         {place{0, 89}, 40, backoffMax},
+		"one-of-more":     {place{20, 89}, 25, backoffMax},
+		"one-of-the-rest": {place{70, 89}, 5, backoffRest},
+		"small-fleet":     {place{6, 7}, 25, backoffMax},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				time.Sleep(time.Millisecond)
+				s := &source{page: mirror.Page{At: 5}}
+				f := New(Settings{Kind: "k", Pace: 100 * time.Millisecond}, s, &log.Logger{Handler: discard.New()}, metrics.NewSet())
+				defer f.Close()
+				f.Assign(test.place)
+				time.Sleep(time.Second)
+				before := s.count()
+				s.set(func(s *source) { s.fail = errDown })
+				time.Sleep(10 * time.Second)
+				calls := s.count() - before
+				c.Assert(calls > 0 && calls <= test.calls, quicktest.IsTrue, quicktest.Commentf("%d calls", calls))
+				s.set(func(s *source) { s.fail, s.page = nil, mirror.Page{At: 7} })
+				time.Sleep(test.notice + 50*time.Millisecond)
+				c.Assert(f.View().At(), quicktest.Equals, uint64(7))
+			})
+		})
+	}
+}
+
 // TestSettled checks which silences make missing entries doubtful: those in which entries may have lapsed, not the loss of the instances that ask.
 func TestSettled(t *testing.T) {
 	cases := map[string]struct {
