--- a/core/health/belief.go
+++ b/core/health/belief.go
@@ -32,11 +32,6 @@
 	return latency.Seconds() * (1 + failureCost*b.rate(now))
 }
 
-// Lost tells whether the target was lost and has given no sign of life since.
-func (b Belief) Lost() bool {
-	return b.losses > 0 && !b.gone
-}
-
 // Latency returns the mean latency of whole answers, or 0 when there was none.
 func (b Belief) Latency() time.Duration {
 	return b.latency
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -260,7 +260,6 @@
 // open takes callers.
 func (i *Instance) open(members *fleet.Fleet) error {
 	sender := send.New(send.Settings{Retries: i.retries, Fleet: i.settings.Retries, Size: func() int { return i.fleet.Load().View().Len() }}, i.link, i.picker, i.borders.Dialect, i.log, i.set)
-	i.part(send.NewScout(sender, i.board.Config).Close)
 	handler := chain.Build(pass.New(sender).Handle,
 		filter.NewTrace(i.log, i.set),
 		filter.NewRecord(i.set, i.log),
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -23,8 +23,6 @@
 type Source interface {
 	// Changed returns a channel that closes at the next change.
 	Changed() <-chan struct{}
-	// Age returns the time since the declared targets were known to be those.
-	Age() time.Duration
 	// Settled tells whether targets that are missing are gone.
 	Settled() bool
 	// Targets returns all declared targets that can be read.
--- a/entry/picker/picker_test.go
+++ b/entry/picker/picker_test.go
@@ -22,9 +22,6 @@
 	changed chan struct{}
 }
 
-// Age tells that the list is current.
-func (f fixed) Age() time.Duration { return 0 }
-
 // Changed returns a channel that never closes.
 func (f fixed) Changed() <-chan struct{} { return f.changed }
 
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -79,8 +79,6 @@
 	Ask(target site.Target) link.Request
 	// Progress returns how far a request has come at a target, by the response to that call.
 	Progress(id string, body []byte) (Progress, error)
-	// Seek returns the same question to a target alone, which any other at its address refuses.
-	Seek(target site.Target) link.Request
 	// IsEngine tells by the response to that call whether a model engine made it.
 	IsEngine(status int, body []byte) bool
 	// Drop returns the call that frees such a copy.
--- a/entry/send/send_test.go
+++ b/entry/send/send_test.go
@@ -19,9 +19,6 @@
 // empty is a source without targets.
 type empty struct{}
 
-// Age tells that the list is current.
-func (empty) Age() time.Duration { return 0 }
-
 // Changed returns a channel that never closes.
 func (empty) Changed() <-chan struct{} { return nil }
 
