picker: a session's order is not sorted for four places

Change: scores are computed once, the first four places are kept in an array, and the engine of least cost is taken, of equal ones the first in the ranking, as before. Targets are not copied. Statements of load are exchanged at fewer pulls where a fleet is larger than 90 (30 statements a pull on the mean) and live longer there; up to 90 machines nothing changes. Ruled out: a sorted ranking kept for each session: sessions are many and each is used a few times.

--- a/entry/feed/feed_test.go
+++ b/entry/feed/feed_test.go
@@ -278,3 +278,21 @@
 		})
 	}
 }
+
+// TestTurns checks that the statements that a pull brings stay bounded on the mean, and that small fleets exchange them at each pull.
+func TestTurns(t *testing.T) {
+	cases := map[string]struct{ size, want int }{
+		"alone":       {1, 1},
+		"today":       {7, 1},
+		"small":       {16, 1},
+		"twenty":      {20, loadTurn},
+		"grown":       {89, loadTurn},
+		"large":       {300, 10},
+		"design-size": {410, 14},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			quicktest.Assert(t, turnsFor(test.size), quicktest.Equals, test.want)
+		})
+	}
+}
--- a/entry/feed/swap.go
+++ b/entry/feed/swap.go
@@ -20,7 +20,8 @@
 	swapPeriod  = 400 * time.Millisecond // swapPeriod is the time between two pulls; news that was not pushed passes an instance in that time.
 	fanOut      = 8                      // fanOut is the number of instances that pull from one: 20 pulls a second take about one in a hundred of a small machine's time.
 	smallFleet  = 16                     // smallFleet is the size up to which loads are exchanged at each pull.
-	loadTurn    = 3                      // loadTurn is how often a pull of a larger fleet exchanges loads.
+	loadTurn    = 3                      // loadTurn is the least number of pulls of a larger fleet for one that exchanges loads.
+	loadsAtOnce = 30                     // loadsAtOnce is how many statements a pull may bring on the mean, which bounds bytes and processor time in a fleet of any size.
 	swapTimeout = 500 * time.Millisecond // swapTimeout bounds one pull.
 )
 
@@ -42,6 +43,8 @@
 	Newer(known []wire.Said) []wire.Load
 	// Own returns a new statement of this instance.
 	Own() wire.Load
+	// Expect takes the time in which statements come anew.
+	Expect(period time.Duration)
 }
 
 // Swap exchanges the copies of feeds, and the loads of targets, with peers.
@@ -161,7 +164,8 @@
 	defer cancel()
 	began := time.Now()
 	var question wire.Pull
-	if s.size <= smallFleet || s.turn%loadTurn == 0 {
+	if turns := turnsFor(s.size); s.turn%turns == 0 {
+		s.loads.Expect(time.Duration(turns) * swapPeriod)
 		question.Loads, question.Own, question.Known = true, s.loads.Own(), s.loads.Known()
 	}
 	for _, f := range s.feeds {
@@ -185,6 +189,14 @@
 	return true
 }
 
+// turnsFor returns how many pulls of a fleet come to one that exchanges loads.
+func turnsFor(size int) int {
+	if size <= smallFleet {
+		return 1
+	}
+	return max(loadTurn, (size+loadsAtOnce-1)/loadsAtOnce)
+}
+
 // note logs the first failed pull of a series and its end.
 func (s *Swap) note(address string, err error) {
 	s.mu.Lock()
--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,7 +63,7 @@
 	if rand.Float64() < explore {
 		best = rand.IntN(len(open))
 	}
-	return p.hold(t, open[best], 0), true
+	return p.hold(t, *open[best], 0), true
 }
 
 // Stream chooses a target for a stream: among the first few in the order of its session, the one with the least to do.
@@ -72,40 +73,39 @@
 	if len(open) == 0 {
 		return nil, false
 	}
-	order := ranked(w.Session, open)
+	order := newOrder(w.Session, open)
 	before := p.placeOf(w.Session)
-	best, cost := 0, 0.0
-	for i, target := range order {
-		s := t.states[target.Name]
-		load := s.load() + rankCost*float64(min(i, sessionWidth))
+	best := choice{}
+	for i, target := range open {
+		load := t.states[target.Name].load() + order.cost(i)
 		if target.Name == before {
 			load -= placeGain
 		}
-		if i == 0 || load < cost {
-			best, cost = i, load
-		}
+		best = best.better(target, load, order.scores[i])
 	}
-	return p.fly(t, order[best], w), true
+	return p.fly(t, *best.target, w), true
 }
 
 // Backup chooses the target that keeps a copy of a stream: the first in the order of its session outside a failure domain.
 func (p *Picker) Backup(w Want, domain string) (site.Target, bool) {
 	t := p.table.Load()
-	var best site.Target
-	found, cost := false, 0.0
-	for i, target := range ranked(w.Session, sound(t, w)) {
+	open := sound(t, w)
+	order := newOrder(w.Session, open)
+	best := choice{}
+	for i, target := range open {
 		if !t.states[target.Name].roomy(w) {
 			continue
 		}
-		own := t.states[target.Name].load() + rankCost*float64(min(i, sessionWidth))
+		own := t.states[target.Name].load() + order.cost(i)
 		if target.Domain == domain {
 			own += suspectWeight
 		}
-		if !found || own < cost {
-			best, found, cost = target, true, own
-		}
+		best = best.better(target, own, order.scores[i])
+	}
+	if best.target == nil {
+		return site.Target{}, false
 	}
-	return best, found
+	return *best.target, true
 }
 
 // IsSound tells whether a target is open under the same start and not suspect.
@@ -240,35 +240,79 @@
 	return float64(held*int64(w.Prompt)) <= copyRoom*float64(w.Memory)
 }
 
-// ranked returns targets in the order of a session, the same on every instance; without a session the order is random.
-func ranked(session string, targets []site.Target) []site.Target {
-	order := make([]site.Target, 0, len(targets))
-	if session == "" {
-		for _, i := range rand.Perm(len(targets)) {
-			order = append(order, targets[i])
-		}
-		return order
+// choice is the best target so far; its zero value is none.
+type choice struct {
+	target *site.Target
+	cost   float64
+	score  uint64
+}
+
+// better returns the target of lower cost, of equal ones the first in the order of their session.
+func (c choice) better(target *site.Target, cost float64, score uint64) choice {
+	switch {
+	case c.target == nil, cost < c.cost:
+	case cost > c.cost, score < c.score, score == c.score && target.Name > c.target.Name:
+		return c
+	}
+	return choice{target: target, cost: cost, score: score}
+}
+
+// order is that of a session, the same on every instance; without a session it is random. Only the first few places matter, so nothing is sorted.
+type order struct {
+	scores []uint64
+	first  [sessionWidth]int // first holds the targets of the first places; -1 is none.
+}
+
+// newOrder returns the order of targets for a session.
+func newOrder(session string, targets []*site.Target) *order {
+	o := &order{scores: make([]uint64, len(targets))}
+	for place := range o.first {
+		o.first[place] = -1
 	}
-	names := make([]string, len(targets))
-	byName := make(map[string]site.Target, len(targets))
 	for i, t := range targets {
-		names[i] = t.Name
-		byName[t.Name] = t
+		if session == "" {
+			o.scores[i] = rand.Uint64()
+		} else {
+			o.scores[i] = route.Score(session, t.Name)
+		}
+		o.insert(i, targets)
+	}
+	return o
+}
+
+// cost returns what a target's place in the order counts.
+func (o *order) cost(i int) float64 {
+	place := slices.Index(o.first[:], i)
+	if place < 0 {
+		place = sessionWidth
 	}
-	for _, name := range route.Rank(session, names) {
-		order = append(order, byName[name])
+	return rankCost * float64(place)
+}
+
+// insert takes a target into the first places if it belongs there.
+func (o *order) insert(i int, targets []*site.Target) {
+	for place, other := range o.first {
+		if other >= 0 && (o.scores[other] > o.scores[i] || o.scores[other] == o.scores[i] && targets[other].Name < targets[i].Name) {
+			continue
+		}
+		copy(o.first[place+1:], o.first[place:])
+		o.first[place] = i
+		return
 	}
-	return order
 }
 
 // sound returns the open targets of a service that are neither suspect nor to be avoided; when there is none, the suspects too.
-func sound(t table, w Want) []site.Target {
+func sound(t table, w Want) []*site.Target {
 	now := time.Now()
-	var healthy, rest []site.Target
-	for _, target := range t.roster.Open(w.Service) {
+	open := t.roster.Open(w.Service)
+	healthy := make([]*site.Target, 0, len(open))
+	var rest []*site.Target
+	for i := range open {
+		target := &open[i]
+		belief := t.states[target.Name].belief.Load()
 		switch {
-		case w.Avoid[target.Name] || t.states[target.Name].belief.Load().Gone():
-		case t.states[target.Name].belief.Load().Suspect(now):
+		case w.Avoid[target.Name] || belief.Gone():
+		case belief.Suspect(now):
 			rest = append(rest, target)
 		default:
 			healthy = append(healthy, target)
--- a/entry/picker/loads.go
+++ b/entry/picker/loads.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	loadLife       = 3 * time.Second // loadLife is the age from which what an instance said of its load is forgotten; it says so anew several times a second.
+	loadLife       = 3 * time.Second // loadLife is the age from which what an instance said of its load is forgotten; it says so anew every second or so, in a large fleet less often.
+	missed         = 2.5             // missed is how many times a statement may fail to come anew before it is forgotten, where that takes longer.
 	sequenceOfLife = 1 << 32         // sequenceOfLife is more than the statements of one start.
 )
 
@@ -17,6 +18,16 @@
 	heard time.Time
 }
 
+// Expect takes the time in which statements come anew.
+func (p *Picker) Expect(period time.Duration) {
+	p.life.Store(int64(max(loadLife, time.Duration(missed*float64(period)))))
+}
+
+// lapsed tells whether a statement is too old to count.
+func (p *Picker) lapsed(s statement, now time.Time) bool {
+	return now.Sub(s.heard) > time.Duration(p.life.Load())
+}
+
 // Known tells which statements of other instances are held.
 func (p *Picker) Known() []wire.Said {
 	p.mu.Lock()
@@ -40,7 +51,7 @@
 	defer p.mu.Unlock()
 	for name, s := range p.heard {
 		switch {
-		case now.Sub(s.heard) > loadLife:
+		case p.lapsed(s, now):
 			delete(p.heard, name)
 		case s.load.Sequence > has[name]:
 			loads = append(loads, s.load)
@@ -135,7 +146,7 @@
 	p.elsewhere = make(map[string]string)
 	p.used = make(map[string]wire.Usage)
 	for _, s := range p.heard {
-		if now.Sub(s.heard) > loadLife {
+		if p.lapsed(s, now) {
 			continue
 		}
 		for _, u := range s.load.Spent {
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -57,6 +57,7 @@
 	dark   sync.Map                            // dark holds when a target of each failure domain was lost last, as a time.Time.
 	usage  atomic.Pointer[func() []wire.Usage] // usage tells what this instance sent lately, or is nil.
 	heirs  *cell.Cell[site.Heirs]              // heirs holds the targets that were found before they were listed, here or by a peer.
+	life   atomic.Int64                        // life is the age from which statements are forgotten, in nanoseconds.
 	turn   sync.Mutex                          // turn lets one goroutine reconcile at a time.
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -84,6 +85,7 @@
 		losses: set.GetOrCreateCounter("bramleywharf_targets_lost_total"),
 		done:   make(chan struct{}),
 	}
+	p.life.Store(int64(loadLife))
 	set.NewGauge("bramleywharf_targets", func() float64 { return float64(p.table.Load().roster.Len()) })
 	set.NewGauge("bramleywharf_targets_suspect", p.suspects)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/entry/picker/picker_test.go
+++ b/entry/picker/picker_test.go
@@ -1,12 +1,14 @@
 package picker
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"bramleywharf.example/core/route"
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/core/wire"
 	"github.com/VictoriaMetrics/metrics"
@@ -70,6 +72,12 @@
 			time.Sleep(loadLife + time.Second)
 			p.Merge([]wire.Load{{Instance: "third", Sequence: 1, Targets: []wire.TargetLoad{{Target: "a", Flying: 9}, {Target: "b", Flying: 9}}}})
 		}, nil, "c"},
+		"large-fleet-forgets-later": {func(p *Picker) {
+			p.Expect(4 * time.Second)
+			p.Merge([]wire.Load{busy(1, map[string]int{"a": 90, "b": 90})})
+			time.Sleep(loadLife + time.Second)
+			p.Merge([]wire.Load{{Instance: "third", Sequence: 1, Targets: []wire.TargetLoad{{Target: "c", Flying: 9}}}})
+		}, nil, "c"},
 		"place-of-the-session": {func(p *Picker) { p.Restore(map[string]string{"session": "b"}) }, nil, "b"},
 		"place-of-a-peer": {func(p *Picker) {
 			p.Merge([]wire.Load{{Instance: "other", Sequence: 1, Runs: []wire.RunPlace{{Session: "session", Target: "a"}}}})
@@ -243,3 +251,32 @@
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
+
+// TestOrder checks that the first places of a session's order are those of the rendezvous ranking, and that all others count the same.
+func TestOrder(t *testing.T) {
+	cases := map[string]int{"none": 0, "one": 1, "three": 3, "as-many-as-places": sessionWidth, "many": 200}
+	for name, size := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			targets := make([]*site.Target, size)
+			names := make([]string, size)
+			for i := range targets {
+				names[i] = fmt.Sprint("target-", i)
+				targets[i] = &site.Target{Name: names[i]}
+			}
+			for n := range 50 {
+				session := fmt.Sprint("session-", n)
+				o := newOrder(session, targets)
+				best := choice{}
+				for i, target := range targets {
+					want := min(slices.Index(route.Rank(session, names), target.Name), sessionWidth)
+					c.Assert(o.cost(i), quicktest.Equals, rankCost*float64(want))
+					best = best.better(target, 1, o.scores[i])
+				}
+				if size > 0 {
+					c.Assert(best.target.Name, quicktest.Equals, route.Rank(session, names)[0])
+				}
+			}
+		})
+	}
+}
