picker: statements are added up when a choice needs them

Cause: each statement of a peer had all statements added up anew for all targets: 0.42 ms with 89 instances, up to 7.5 times a second at one that others pull from, 1.9 ms with 300 instances and 3,000 servers; choices come less than once a second. Change: a statement only marks the sums stale; Stream, Backup and Used bring them up to date, and so does the first choice after the list of targets has changed, which waited for the next statement before. Ruled out: sums kept by differences: each lapse and each new target would have to be followed in them. Tests of picker, send and the platform's end-to-end tests hold with the race detector.

--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -68,6 +68,7 @@
 
 // Stream chooses a target for a stream: among the first few in the order of its session, the one with the least to do.
 func (p *Picker) Stream(w Want) (*Pick, bool) {
+	p.freshen()
 	t := p.table.Load()
 	open := sound(t, w)
 	if len(open) == 0 {
@@ -88,6 +89,7 @@
 
 // Backup chooses the target that keeps a copy of a stream: the first in the order of its session outside a failure domain.
 func (p *Picker) Backup(w Want, domain string) (site.Target, bool) {
+	p.freshen()
 	t := p.table.Load()
 	open := sound(t, w)
 	order := newOrder(w.Session, open)
--- a/entry/picker/loads.go
+++ b/entry/picker/loads.go
@@ -88,6 +88,7 @@
 
 // Used returns what all other instances sent to a service lately, as far as it is known here.
 func (p *Picker) Used(service string) wire.Usage {
+	p.freshen()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.used[service]
@@ -105,8 +106,8 @@
 			heirs = append(heirs, l.Heirs...)
 		}
 	}
-	p.spread(now)
 	p.mu.Unlock()
+	p.stale.Store(true)
 	p.inherit(heirs, now)
 }
 
@@ -140,6 +141,18 @@
 	return own
 }
 
+// freshen adds statements up that came since the last time; choices are rarer than statements.
+func (p *Picker) freshen() {
+	if !p.stale.Load() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stale.Swap(false) {
+		p.spread(time.Now())
+	}
+}
+
 // spread adds the loads of other instances up for each target.
 func (p *Picker) spread(now time.Time) {
 	sums := make(map[string]wire.TargetLoad)
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -57,6 +57,7 @@
 	dark   sync.Map                            // dark holds when a target of each failure domain was lost last, as a time.Time.
 	usage  atomic.Pointer[func() []wire.Usage] // usage tells what this instance sent lately, or is nil.
 	heirs  *cell.Cell[site.Heirs]              // heirs holds the targets that were found before they were listed, here or by a peer.
+	stale  atomic.Bool                         // stale tells that statements came that are not added up yet.
 	life   atomic.Int64                        // life is the age from which statements are forgotten, in nanoseconds.
 	turn   sync.Mutex                          // turn lets one goroutine reconcile at a time.
 	cancel context.CancelFunc
@@ -144,6 +145,7 @@
 		old, next = t.roster, t.roster.WithTargets(targets, time.Now(), keep)
 		return table{roster: next, states: states(t, next)}
 	})
+	p.stale.Store(true) // New targets have no loads of others yet.
 	for name := range next.Moved(old) {
 		was, _ := old.Get(name)
 		p.gone(was.Address)
