picker: a target that was listed and has ended is not adopted

Change: names of targets that ended here are remembered for a minute and not adopted; peers are told of successors only until the platform lists them. Ruled out: trusting the listed mark alone: it is made where the successor was found, not at instances that learnt of the target from the list. Measured: TestEndedIsNotAdopted (two of four cases) and TestListedIsNotTold failed before.

--- a/core/site/site_test.go
+++ b/core/site/site_test.go
@@ -61,7 +61,7 @@
 	a := Target{Name: "a", Service: "s", Address: "1", Revision: 1}
 	b := Target{Name: "b", Service: "s", Address: "2", Revision: 2}
 	leaving := func(t Target) Target { t.Leaving = true; return t }
-	heir := Target{Name: "c", Service: "s", Address: "1", Revision: 9}
+	successor := Target{Name: "c", Service: "s", Address: "1", Revision: 9}
 	type step struct {
 		targets []Target
 		after   time.Duration
@@ -71,14 +71,14 @@
 		steps []step
 		want  []string
 	}{
-		"listed":               {[]step{{[]Target{a, b}, 0, 0}}, []string{"a", "b"}},
-		"leaving-is-closed":    {[]step{{[]Target{a, leaving(b)}, 0, 0}}, []string{"a"}},
-		"gone":                 {[]step{{[]Target{a, b}, 0, 0}, {[]Target{a}, 0, 0}}, []string{"a"}},
-		"lapsed-is-kept":       {[]step{{[]Target{a, b}, 0, 0}, {[]Target{a}, time.Second, 2 * time.Second}}, []string{"a", "b"}},
-		"lapsed-for-too-long":  {[]step{{[]Target{a, b}, 0, 0}, {[]Target{a}, time.Second, 2 * time.Second}, {[]Target{a}, 3 * time.Second, 2 * time.Second}}, []string{"a"}},
-		"leaving-is-not-kept":  {[]step{{[]Target{a, leaving(b)}, 0, 0}, {[]Target{a}, time.Second, 2 * time.Second}}, []string{"a"}},
-		"heir-of-an-address":   {[]step{{[]Target{a, b, heir}, 0, 0}}, []string{"b", "c"}},
-		"heir-ends-the-lapsed": {[]step{{[]Target{a, b}, 0, 0}, {[]Target{b, heir}, time.Second, 2 * time.Second}}, []string{"b", "c"}},
+		"listed":                    {[]step{{[]Target{a, b}, 0, 0}}, []string{"a", "b"}},
+		"leaving-is-closed":         {[]step{{[]Target{a, leaving(b)}, 0, 0}}, []string{"a"}},
+		"gone":                      {[]step{{[]Target{a, b}, 0, 0}, {[]Target{a}, 0, 0}}, []string{"a"}},
+		"lapsed-is-kept":            {[]step{{[]Target{a, b}, 0, 0}, {[]Target{a}, time.Second, 2 * time.Second}}, []string{"a", "b"}},
+		"lapsed-for-too-long":       {[]step{{[]Target{a, b}, 0, 0}, {[]Target{a}, time.Second, 2 * time.Second}, {[]Target{a}, 3 * time.Second, 2 * time.Second}}, []string{"a"}},
+		"leaving-is-not-kept":       {[]step{{[]Target{a, leaving(b)}, 0, 0}, {[]Target{a}, time.Second, 2 * time.Second}}, []string{"a"}},
+		"successor-of-an-address":   {[]step{{[]Target{a, b, successor}, 0, 0}}, []string{"b", "c"}},
+		"successor-ends-the-lapsed": {[]step{{[]Target{a, b}, 0, 0}, {[]Target{b, successor}, time.Second, 2 * time.Second}}, []string{"b", "c"}},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -155,17 +155,17 @@
 
 // Load is what one instance has running at targets.
 type Load struct {
-	Instance string       `cbor:"1,keyasint"`
-	Sequence uint64       `cbor:"2,keyasint"` // Sequence grows with each statement of an instance.
-	Targets  []TargetLoad `cbor:"3,keyasint,omitempty"`
-	Runs     []RunPlace   `cbor:"4,keyasint,omitempty"` // Runs tells where its streams run.
-	Spent    []Usage      `cbor:"5,keyasint,omitempty"` // Spent holds what it sent to each service lately.
-	Lost     []DomainLoss `cbor:"6,keyasint,omitempty"` // Lost tells where it lost targets lately.
-	Heirs    []Heir       `cbor:"7,keyasint,omitempty"` // Heirs tells which targets it found at the addresses of others.
+	Instance   string       `cbor:"1,keyasint"`
+	Sequence   uint64       `cbor:"2,keyasint"` // Sequence grows with each statement of an instance.
+	Targets    []TargetLoad `cbor:"3,keyasint,omitempty"`
+	Runs       []RunPlace   `cbor:"4,keyasint,omitempty"` // Runs tells where its streams run.
+	Spent      []Usage      `cbor:"5,keyasint,omitempty"` // Spent holds what it sent to each service lately.
+	Lost       []DomainLoss `cbor:"6,keyasint,omitempty"` // Lost tells where it lost targets lately.
+	Successors []Successor  `cbor:"7,keyasint,omitempty"` // Successors tells which targets it found at the addresses of others.
 }
 
-// Heir tells that an instance found a target at the address of another one of its service.
-type Heir struct {
+// Successor tells that an instance found a target at the address of another one of its service.
+type Successor struct {
 	Name    string        `cbor:"1,keyasint"`
 	Of      string        `cbor:"2,keyasint"` // Of names the target that it follows, Started and Address are that one's.
 	Started int64         `cbor:"3,keyasint"`
--- a/entry/picker/loads.go
+++ b/entry/picker/loads.go
@@ -75,8 +75,8 @@
 	if usage := p.usage.Load(); usage != nil {
 		l.Spent = (*usage)()
 	}
-	for _, h := range p.heirs.Load().All() {
-		l.Heirs = append(l.Heirs, wire.Heir{Name: h.Name, Of: h.Of.Name, Started: h.Of.Started, Address: h.Of.Address, Age: time.Since(h.Found)})
+	for _, h := range p.successors.Load().Unlisted() {
+		l.Successors = append(l.Successors, wire.Successor{Name: h.Name, Of: h.Of.Name, Started: h.Of.Started, Address: h.Of.Address, Age: time.Since(h.Found)})
 	}
 	return l
 }
@@ -97,18 +97,18 @@
 // Merge takes what a peer knows, the newest statement of each instance.
 func (p *Picker) Merge(loads []wire.Load) {
 	now := time.Now()
-	var heirs []wire.Heir
+	var successors []wire.Successor
 	p.mu.Lock()
 	for _, l := range loads {
 		if known, ok := p.heard[l.Instance]; l.Instance != p.name && (!ok || l.Sequence > known.load.Sequence) {
 			p.heard[l.Instance] = statement{load: l, heard: now}
 			p.notice(l.Lost, now)
-			heirs = append(heirs, l.Heirs...)
+			successors = append(successors, l.Successors...)
 		}
 	}
 	p.mu.Unlock()
 	p.stale.Store(true)
-	p.inherit(heirs, now)
+	p.inherit(successors, now)
 }
 
 // notice takes the losses of another instance as evidence of the same kind as its own.
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -48,20 +48,21 @@
 
 // Picker keeps the targets and chooses among them.
 type Picker struct {
-	source Source
-	gone   func(address string) // gone is told the address of each target that is gone.
-	log    log.Interface
-	table  *cell.Cell[table]
-	began  time.Time
-	losses *metrics.Counter
-	dark   sync.Map                            // dark holds when a target of each failure domain was lost last, as a time.Time.
-	usage  atomic.Pointer[func() []wire.Usage] // usage tells what this instance sent lately, or is nil.
-	heirs  *cell.Cell[site.Heirs]              // heirs holds the targets that were found before they were listed, here or by a peer.
-	stale  atomic.Bool                         // stale tells that statements came that are not added up yet.
-	life   atomic.Int64                        // life is the age from which statements are forgotten, in nanoseconds.
-	turn   sync.Mutex                          // turn lets one goroutine reconcile at a time.
-	cancel context.CancelFunc
-	done   chan struct{}
+	source     Source
+	gone       func(address string) // gone is told the address of each target that is gone.
+	log        log.Interface
+	table      *cell.Cell[table]
+	began      time.Time
+	losses     *metrics.Counter
+	dark       sync.Map                            // dark holds when a target of each failure domain was lost last, as a time.Time.
+	usage      atomic.Pointer[func() []wire.Usage] // usage tells what this instance sent lately, or is nil.
+	successors *cell.Cell[site.Successors]         // successors holds the targets that were found before they were listed, here or by a peer.
+	ended      sync.Map                            // ended holds when targets ended that were used here, as a time.Time.
+	stale      atomic.Bool                         // stale tells that statements came that are not added up yet.
+	life       atomic.Int64                        // life is the age from which statements are forgotten, in nanoseconds.
+	turn       sync.Mutex                          // turn lets one goroutine reconcile at a time.
+	cancel     context.CancelFunc
+	done       chan struct{}
 
 	mu        sync.Mutex
 	name      string
@@ -75,16 +76,16 @@
 // New returns a picker that follows its source.
 func New(source Source, gone func(address string), logger log.Interface, set *metrics.Set) *Picker {
 	p := &Picker{
-		source: source,
-		gone:   gone,
-		log:    logger,
-		table:  cell.New(table{roster: (&site.Roster{}).WithTargets(nil, time.Now(), 0)}),
-		heirs:  cell.New(site.Heirs{}),
-		began:  time.Now(),
-		heard:  make(map[string]statement),
-		places: make(map[string]place),
-		losses: set.GetOrCreateCounter("bramleywharf_targets_lost_total"),
-		done:   make(chan struct{}),
+		source:     source,
+		gone:       gone,
+		log:        logger,
+		table:      cell.New(table{roster: (&site.Roster{}).WithTargets(nil, time.Now(), 0)}),
+		successors: cell.New(site.Successors{}),
+		began:      time.Now(),
+		heard:      make(map[string]statement),
+		places:     make(map[string]place),
+		losses:     set.GetOrCreateCounter("bramleywharf_targets_lost_total"),
+		done:       make(chan struct{}),
 	}
 	p.life.Store(int64(loadLife))
 	set.NewGauge("bramleywharf_targets", func() float64 { return float64(p.table.Load().roster.Len()) })
@@ -115,7 +116,7 @@
 		changed := p.source.Changed()
 		p.reconcile()
 		var lapsed <-chan time.Time
-		if p.table.Load().roster.Lapsed() || p.heirs.Load().Len() > 0 {
+		if p.table.Load().roster.Lapsed() || p.successors.Load().Len() > 0 {
 			lapsed = time.After(refresh)
 		}
 		select {
@@ -136,9 +137,9 @@
 		keep = 0
 	}
 	targets := p.source.Targets()
-	p.heirs.Update(func(h site.Heirs) site.Heirs {
-		targets, h = h.Apply(targets, time.Now(), settled)
-		return h
+	p.successors.Update(func(s site.Successors) site.Successors {
+		targets, s = s.Apply(targets, time.Now(), settled)
+		return s
 	})
 	var old, next *site.Roster
 	p.table.Update(func(t table) table {
@@ -149,6 +150,7 @@
 	for name := range next.Moved(old) {
 		was, _ := old.Get(name)
 		p.gone(was.Address)
+		p.end(name, time.Now())
 		p.log.WithFields(log.Fields{"target": name, "address": was.Address, "revision": was.Revision}).Info("target is gone or started again")
 	}
 	p.logChanges(old, next)
--- a/entry/picker/picker_test.go
+++ b/entry/picker/picker_test.go
@@ -280,3 +280,65 @@
 		})
 	}
 }
+
+// TestEndedIsNotAdopted checks that a target which was listed and is not any more is not used as a successor, whoever finds it.
+func TestEndedIsNotAdopted(t *testing.T) {
+	a := site.Target{Name: "a", Service: "s", Address: "1", Started: 7, Revision: 1}
+	b := site.Target{Name: "b", Service: "s", Address: "1", Started: 8, Revision: 2}
+	cases := map[string]struct {
+		listed []site.Target // listed holds what is listed in between.
+		find   func(p *Picker)
+		want   string
+	}{
+		"never-listed":            {nil, func(p *Picker) { p.Adopt(a, "b") }, "b"},
+		"never-listed-by-a-peer":  {nil, func(p *Picker) { p.Merge([]wire.Load{found("b", a)}) }, "b"},
+		"listed-before":           {[]site.Target{a, b}, func(p *Picker) { p.Adopt(a, "b") }, "a"},
+		"listed-before-by-a-peer": {[]site.Target{a, b}, func(p *Picker) { p.Merge([]wire.Load{found("b", a)}) }, "a"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				source := &moving{fixed: fixed{changed: make(chan struct{})}}
+				p := New(source, func(string) {}, &log.Logger{Handler: discard.New()}, metrics.NewSet())
+				defer p.Close()
+				p.Name("self", 1)
+				for _, targets := range [][]site.Target{{a}, test.listed, {a}} {
+					if targets != nil {
+						synctest.Wait()
+						source.set(targets)
+					}
+				}
+				synctest.Wait()
+				test.find(p)
+				pick, ok := p.Stream(Want{Service: "s", Session: "session"})
+				c.Assert(ok, quicktest.IsTrue)
+				c.Assert(pick.Target.Name, quicktest.Equals, test.want)
+				pick.Release()
+			})
+		})
+	}
+}
+
+// TestListedIsNotTold checks that peers are told of successors only until the platform lists them.
+func TestListedIsNotTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		a := site.Target{Name: "a", Service: "s", Address: "1", Started: 7, Revision: 1}
+		b := site.Target{Name: "b", Service: "s", Address: "1", Started: 8, Revision: 2}
+		source := &moving{fixed: fixed{changed: make(chan struct{}), targets: []site.Target{a}}}
+		p := New(source, func(string) {}, &log.Logger{Handler: discard.New()}, metrics.NewSet())
+		defer p.Close()
+		synctest.Wait()
+		p.Adopt(a, "b")
+		c.Assert(p.Own().Successors, quicktest.HasLen, 1)
+		source.set([]site.Target{a, b})
+		synctest.Wait()
+		c.Assert(p.Own().Successors, quicktest.HasLen, 0)
+	})
+}
+
+// found returns the statement of an instance that found a target in another one's place.
+func found(name string, of site.Target) wire.Load {
+	return wire.Load{Instance: "finder", Sequence: 1, Successors: []wire.Successor{{Name: name, Of: of.Name, Started: of.Started, Address: of.Address}}}
+}
