wait: one loop for all controllers

Cause: thirteen controllers wrote the same frame: a context, a goroutine that closes a channel at its end, Close and Done, alike to the letter. Change: wait.Loop holds it; controllers embed theirs and give their closure in the constructor, as before. Ruled out: the instances' own done channels, the peers' transport and the proxies of the soak: they end in other orders.

--- a/entry/board/board.go
+++ b/entry/board/board.go
@@ -6,6 +6,7 @@
 	"bramleywharf.example/core/cell"
 	"bramleywharf.example/core/mirror"
 	"bramleywharf.example/core/site"
+	"bramleywharf.example/core/wait"
 	"bramleywharf.example/entry/feed"
 	"github.com/apex/log"
 )
@@ -18,21 +19,17 @@
 
 // Board keeps the decoded configuration in force.
 type Board struct {
+	*wait.Loop
 	decode DecodeConfig
 	feed   *feed.Feed
 	log    log.Interface
 	config *cell.Cell[*site.Config]
-	cancel context.CancelFunc
-	done   chan struct{}
 }
 
 // New returns a controller that decodes what its feed brings.
 func New(f *feed.Feed, decode DecodeConfig, logger log.Interface) *Board {
-	b := &Board{decode: decode, feed: f, log: logger, config: cell.New[*site.Config](nil), done: make(chan struct{})}
-	ctx, cancel := context.WithCancel(context.Background())
-	b.cancel = cancel
-	go func() {
-		defer close(b.done)
+	b := &Board{decode: decode, feed: f, log: logger, config: cell.New[*site.Config](nil)}
+	b.Loop = wait.Start(func(ctx context.Context) {
 		for {
 			changed := f.Changed()
 			b.reconcile()
@@ -42,7 +39,7 @@
 			case <-changed:
 			}
 		}
-	}()
+	})
 	return b
 }
 
@@ -56,17 +53,6 @@
 	return b.config.Load()
 }
 
-// Close stops following.
-func (b *Board) Close() {
-	b.cancel()
-	<-b.done
-}
-
-// Done is closed when the controller has stopped.
-func (b *Board) Done() <-chan struct{} {
-	return b.done
-}
-
 // reconcile brings the newest configuration into force; one that cannot be read changes nothing.
 func (b *Board) reconcile() {
 	view := b.feed.View()
--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -59,6 +59,7 @@
 
 // Feed follows one kind of stored objects.
 type Feed struct {
+	*wait.Loop
 	settings Settings
 	source   Source
 	log      log.Interface
@@ -68,8 +69,6 @@
 	began    time.Time
 	asOf     atomic.Int64 // asOf is when the view was known to be the store's, in nanoseconds since began.
 	returned atomic.Int64 // returned is when that was known again after a loss.
-	cancel   context.CancelFunc
-	done     chan struct{}
 }
 
 // New returns a feed that lists once and follows its source when its duties say so.
@@ -81,17 +80,11 @@
 		view:     cell.New(mirror.View{}),
 		changes:  set.GetOrCreateCounter(`bramleywharf_feed_changes_total{kind="` + s.Kind + `"}`),
 		began:    time.Now(),
-		done:     make(chan struct{}),
 	}
 	f.returned.Store(int64(-settle))
 	set.NewGauge(`bramleywharf_feed_revision{kind="`+s.Kind+`"}`, func() float64 { return float64(f.View().At()) })
 	set.NewGauge(`bramleywharf_feed_age_seconds{kind="`+s.Kind+`"}`, func() float64 { return f.Age().Seconds() })
-	ctx, cancel := context.WithCancel(context.Background())
-	f.cancel = cancel
-	go func() {
-		defer close(f.done)
-		f.loop(ctx)
-	}()
+	f.Loop = wait.Start(f.loop)
 	return f
 }
 
@@ -110,17 +103,6 @@
 	return f.view.Changed()
 }
 
-// Close stops following.
-func (f *Feed) Close() {
-	f.cancel()
-	<-f.done
-}
-
-// Done is closed when the feed has stopped.
-func (f *Feed) Done() <-chan struct{} {
-	return f.done
-}
-
 // Kind returns the kind that is followed.
 func (f *Feed) Kind() string {
 	return f.settings.Kind
--- a/entry/feed/swap.go
+++ b/entry/feed/swap.go
@@ -49,13 +49,12 @@
 
 // Swap exchanges the copies of feeds, and the loads of targets, with peers.
 type Swap struct {
-	feeds  []*Feed
-	loads  Loads
-	net    peer.Net
-	log    log.Interface
-	heard  chan string
-	cancel context.CancelFunc
-	done   chan struct{}
+	*wait.Loop
+	feeds []*Feed
+	loads Loads
+	net   peer.Net
+	log   log.Interface
+	heard chan string
 
 	turn int // turn counts the pulls.
 	size int // size is the number of live members at the last pull.
@@ -66,17 +65,14 @@
 
 // NewSwap returns a swap that answers pulls; Start begins to pull.
 func NewSwap(net peer.Net, loads Loads, logger log.Interface, feeds ...*Feed) *Swap {
-	return &Swap{feeds: feeds, loads: loads, net: net, log: logger, heard: make(chan string, 1), done: make(chan struct{})}
+	return &Swap{feeds: feeds, loads: loads, net: net, log: logger, heard: make(chan string, 1)}
 }
 
 // Start begins to pull from the members.
 func (s *Swap) Start(members Members) {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	go func() {
-		defer close(s.done)
+	s.Loop = wait.Start(func(ctx context.Context) {
 		s.loop(ctx, members)
-	}()
+	})
 }
 
 // Age returns the least age of all feeds.
@@ -88,17 +84,6 @@
 	return age
 }
 
-// Close stops pulling.
-func (s *Swap) Close() {
-	s.cancel()
-	<-s.done
-}
-
-// Done is closed when the swap has stopped.
-func (s *Swap) Done() <-chan struct{} {
-	return s.done
-}
-
 // Handle answers a peer's pull.
 func (s *Swap) Handle(p wire.Pull) wire.Message {
 	var pages wire.Pages
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"bramleywharf.example/core/member"
 	"bramleywharf.example/core/peer"
 	"bramleywharf.example/core/store"
+	"bramleywharf.example/core/wait"
 	"bramleywharf.example/core/wire"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
@@ -52,6 +53,7 @@
 
 // Fleet keeps the view of the members.
 type Fleet struct {
+	*wait.Loop
 	settings Settings
 	net      peer.Net
 	list     Lister
@@ -60,8 +62,6 @@
 	view     *cell.Cell[member.View]
 	news     *news
 	kick     chan struct{}
-	cancel   context.CancelFunc
-	done     chan struct{}
 	deaths   *metrics.Counter
 	unlisted atomic.Bool // unlisted tells that the platform's list could not be read last time.
 
@@ -82,7 +82,6 @@
 		log:      logger,
 		news:     newNews(),
 		kick:     make(chan struct{}, 1),
-		done:     make(chan struct{}),
 		deaths:   set.GetOrCreateCounter("bramleywharf_members_lost_total"),
 		self:     s.Self,
 		since:    make(map[string]time.Time),
@@ -95,26 +94,10 @@
 	f.view = cell.New(view)
 	f.news.add(s.Self, 1)
 	set.NewGauge("bramleywharf_members_live", func() float64 { return float64(len(f.View().Live())) })
-	ctx, cancel := context.WithCancel(context.Background())
-	f.cancel = cancel
-	go func() {
-		defer close(f.done)
-		f.loop(ctx)
-	}()
+	f.Loop = wait.Start(f.loop)
 	return f
 }
 
-// Close stops probing and waits for the last probe.
-func (f *Fleet) Close() {
-	f.cancel()
-	<-f.done
-}
-
-// Done is closed when the fleet has stopped.
-func (f *Fleet) Done() <-chan struct{} {
-	return f.done
-}
-
 // Handle answers a heartbeat.
 func (f *Fleet) Handle(ctx context.Context, g wire.Gossip) wire.Message {
 	if g.Forward != "" {
--- a/entry/inst/idles.go
+++ b/entry/inst/idles.go
@@ -15,33 +15,23 @@
 
 // idles closes callers' connections that stay idle beyond the limit in force.
 type idles struct {
+	*wait.Loop
 	limit func() time.Duration
 	mu    sync.Mutex
 	since map[net.Conn]time.Time
-
-	cancel context.CancelFunc
-	done   chan struct{}
 }
 
 // newIdles returns a sweeper that looks at idle connections.
 func newIdles(limit func() time.Duration) *idles {
-	ctx, cancel := context.WithCancel(context.Background())
-	i := &idles{limit: limit, since: make(map[net.Conn]time.Time), cancel: cancel, done: make(chan struct{})}
-	go func() {
-		defer close(i.done)
+	i := &idles{limit: limit, since: make(map[net.Conn]time.Time)}
+	i.Loop = wait.Start(func(ctx context.Context) {
 		for wait.For(ctx, sweepPeriod) {
 			i.sweep(time.Now())
 		}
-	}()
+	})
 	return i
 }
 
-// Close stops the looks.
-func (i *idles) Close() {
-	i.cancel()
-	<-i.done
-}
-
 // note follows the state of a connection.
 func (i *idles) note(c net.Conn, s http.ConnState) {
 	i.mu.Lock()
--- a/entry/inst/places.go
+++ b/entry/inst/places.go
@@ -14,29 +14,18 @@
 
 // saver stores where sessions run while its instance is elected to, so that callers find their engine again when all instances were lost at once.
 type saver struct {
+	*wait.Loop
 	instance *Instance
 	members  *fleet.Fleet
-	cancel   context.CancelFunc
-	done     chan struct{}
 }
 
 // newSaver returns a saver of an instance among members.
 func newSaver(i *Instance, members *fleet.Fleet) *saver {
-	ctx, cancel := context.WithCancel(context.Background())
-	s := &saver{instance: i, members: members, cancel: cancel, done: make(chan struct{})}
-	go func() {
-		defer close(s.done)
-		s.loop(ctx)
-	}()
+	s := &saver{instance: i, members: members}
+	s.Loop = wait.Start(s.loop)
 	return s
 }
 
-// Close stops saving.
-func (s *saver) Close() {
-	s.cancel()
-	<-s.done
-}
-
 // loop saves what has changed since the last time.
 func (s *saver) loop(ctx context.Context) {
 	i := s.instance
--- a/entry/internal/gate/gate.go
+++ b/entry/internal/gate/gate.go
@@ -8,6 +8,7 @@
 
 	"bramleywharf.example/core/cell"
 	"bramleywharf.example/core/fair"
+	"bramleywharf.example/core/wait"
 	"github.com/VictoriaMetrics/metrics"
 )
 
@@ -24,14 +25,13 @@
 	Free(model string) int
 }
 
-// Gate lets generations pass to the engines.
+// Gate lets generations pass to the engines; a closed one lets nobody pass any more.
 type Gate struct {
+	*wait.Loop
 	capacity Capacity
 	queue    *cell.Cell[fair.Queue]
-	waiting  sync.Map // waiting holds the channel of each ticket, which says once whether it may pass.
-	granted  sync.Map // granted holds an *atomic.Int64 for each model: generations let through that hold no engine yet.
-	cancel   context.CancelFunc
-	done     chan struct{}
+	waiting  sync.Map     // waiting holds the channel of each ticket, which says once whether it may pass.
+	granted  sync.Map     // granted holds an *atomic.Int64 for each model: generations let through that hold no engine yet.
 	rate     atomic.Int64 // rate is the rate of service in tickets per 1000 seconds, or 0 while it is not known.
 	busy     time.Time    // busy is since when somebody has waited without a break; owned by the loop.
 	served   int          // served counts those let through since busy; owned by the loop.
@@ -44,31 +44,14 @@
 	g := &Gate{
 		capacity: capacity,
 		queue:    cell.New(fair.Queue{}),
-		done:     make(chan struct{}),
 		shed:     set.GetOrCreateCounter("bramleywharf_queue_shed_total"),
 		queued:   set.GetOrCreateHistogram("bramleywharf_queue_seconds"),
 	}
 	set.NewGauge("bramleywharf_queue_length", func() float64 { return float64(g.queue.Load().Len()) })
-	ctx, cancel := context.WithCancel(context.Background())
-	g.cancel = cancel
-	go func() {
-		defer close(g.done)
-		g.loop(ctx)
-	}()
+	g.Loop = wait.Start(g.loop)
 	return g
 }
 
-// Close lets nobody pass any more.
-func (g *Gate) Close() {
-	g.cancel()
-	<-g.done
-}
-
-// Done is closed when the gate has stopped.
-func (g *Gate) Done() <-chan struct{} {
-	return g.done
-}
-
 // Enter waits until an engine has room for a generation of an organisation; the error wraps fair.ErrFull or fair.ErrLate.
 func (g *Gate) Enter(ctx context.Context, organisation, model string, share float64) (entered func(), err error) {
 	if g.queue.Load().Len() == 0 && g.room(model) > 0 {
@@ -91,7 +74,7 @@
 	case <-ctx.Done():
 		g.withdraw(ticket, passed)
 		err = ctx.Err()
-	case <-g.done:
+	case <-g.Done():
 		err = fair.ErrLate
 	}
 	g.shed.Inc()
--- a/entry/internal/keep/keep.go
+++ b/entry/internal/keep/keep.go
@@ -1,7 +1,6 @@
 package keep
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -9,6 +8,7 @@
 	"bramleywharf.example/core/member"
 	"bramleywharf.example/core/peer"
 	"bramleywharf.example/core/route"
+	"bramleywharf.example/core/wait"
 	"bramleywharf.example/core/wire"
 	"bramleywharf.example/entry/internal/engine"
 	"bramleywharf.example/entry/internal/relay"
@@ -44,14 +44,13 @@
 
 // Keep sends copies of this instance's generations and holds those of others.
 type Keep struct {
+	*wait.Loop
 	settings Settings
 	fleet    Fleet
 	targets  Targets
 	engines  engine.Client
 	net      peer.Net
 	records  sync.Map // records holds a *record for each request running here.
-	cancel   context.CancelFunc
-	done     chan struct{}
 	copied   *metrics.Counter
 	orphans  *metrics.Counter
 
@@ -83,18 +82,12 @@
 		targets:  targets,
 		engines:  engines,
 		net:      net,
-		done:     make(chan struct{}),
 		held:     make(map[string]held),
 		copied:   set.GetOrCreateCounter("bramleywharf_log_tokens_copied_total"),
 		orphans:  set.GetOrCreateCounter("bramleywharf_generations_stopped_total"),
 	}
 	set.NewGauge("bramleywharf_logs_held", func() float64 { return float64(k.heldCount()) })
-	ctx, cancel := context.WithCancel(context.Background())
-	k.cancel = cancel
-	go func() {
-		defer close(k.done)
-		k.loop(ctx)
-	}()
+	k.Loop = wait.Start(k.loop)
 	return k
 }
 
@@ -113,11 +106,6 @@
 	return wire.Adopted{Found: true, Log: h.log}
 }
 
-// Done is closed when the controller has stopped.
-func (k *Keep) Done() <-chan struct{} {
-	return k.done
-}
-
 // Handle takes the news of a peer's generations.
 func (k *Keep) Handle(m wire.Keep) wire.Message {
 	k.mu.Lock()
@@ -150,8 +138,7 @@
 
 // Stop ends the controller; copies held here are lost.
 func (k *Keep) Stop() {
-	k.cancel()
-	<-k.done
+	k.Loop.Close()
 }
 
 // choose returns the keeper of a request: a live member, of another failure domain if there is one.
--- a/entry/internal/lend/lend.go
+++ b/entry/internal/lend/lend.go
@@ -9,6 +9,7 @@
 	"bramleywharf.example/core/limit"
 	"bramleywharf.example/core/member"
 	"bramleywharf.example/core/peer"
+	"bramleywharf.example/core/wait"
 	"bramleywharf.example/core/wire"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
@@ -43,14 +44,13 @@
 
 // Lend borrows slots for this instance and lends them to others.
 type Lend struct {
+	*wait.Loop
 	fleet    Fleet
 	source   Source
 	net      peer.Net
 	began    time.Time
 	accounts sync.Map // accounts holds an *account for each organisation used here.
 	kick     chan struct{}
-	cancel   context.CancelFunc
-	done     chan struct{}
 	refused  *metrics.Counter
 	floors   *metrics.Counter
 
@@ -67,18 +67,12 @@
 		net:     net,
 		began:   time.Now(),
 		kick:    make(chan struct{}, 1),
-		done:    make(chan struct{}),
 		books:   make(map[string]limit.Book),
 		tenure:  tenure{self: fleet.Self().Name, began: time.Now()},
 		refused: set.GetOrCreateCounter("bramleywharf_ceiling_refusals_total"),
 		floors:  set.GetOrCreateCounter("bramleywharf_ceiling_floors_total"),
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	l.cancel = cancel
-	go func() {
-		defer close(l.done)
-		l.loop(ctx)
-	}()
+	l.Loop = wait.Start(l.loop)
 	return l
 }
 
@@ -99,17 +93,6 @@
 	return l.wait(ctx, a)
 }
 
-// Close stops borrowing and lending.
-func (l *Lend) Close() {
-	l.cancel()
-	<-l.done
-}
-
-// Done is closed when the controller has stopped.
-func (l *Lend) Done() <-chan struct{} {
-	return l.done
-}
-
 // Handle lends to a borrower.
 func (l *Lend) Handle(b wire.Borrow) wire.Message {
 	answer := wire.Lent{Life: limit.Life}
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -12,6 +12,7 @@
 	"bramleywharf.example/core/conf"
 	"bramleywharf.example/core/flow"
 	"bramleywharf.example/core/route"
+	"bramleywharf.example/core/wait"
 	"bramleywharf.example/entry/internal/engine"
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -40,12 +41,11 @@
 
 // Pool watches targets.
 type Pool struct {
+	*wait.Loop
 	settings Settings
 	source   Source
 	engines  engine.Client
 	table    *cell.Cell[table]
-	cancel   context.CancelFunc
-	done     chan struct{}
 	fails    *metrics.Counter
 	polled   map[string]time.Time // polled is owned by the loop.
 	polls    map[string]int       // polls is owned by the loop.
@@ -59,32 +59,15 @@
 		source:   source,
 		engines:  engines,
 		table:    cell.New(table{}),
-		done:     make(chan struct{}),
 		fails:    set.GetOrCreateCounter("bramleywharf_target_reports_missed_total"),
 		polled:   make(map[string]time.Time),
 		polls:    make(map[string]int),
 	}
 	set.NewGauge("bramleywharf_targets_watched", func() float64 { return float64(len(p.table.Load().names)) })
-	ctx, cancel := context.WithCancel(context.Background())
-	p.cancel = cancel
-	go func() {
-		defer close(p.done)
-		p.loop(ctx)
-	}()
+	p.Loop = wait.Start(p.loop)
 	return p
 }
 
-// Close stops watching.
-func (p *Pool) Close() {
-	p.cancel()
-	<-p.done
-}
-
-// Done is closed when the pool has stopped.
-func (p *Pool) Done() <-chan struct{} {
-	return p.done
-}
-
 // Find returns a declared target by name, watched or not.
 func (p *Pool) Find(name string) (route.Candidate, bool) {
 	if e, ok := p.table.Load().entries[name]; ok {
--- a/entry/internal/steer/steer.go
+++ b/entry/internal/steer/steer.go
@@ -11,6 +11,7 @@
 	"bramleywharf.example/core/fence"
 	"bramleywharf.example/core/store"
 	"bramleywharf.example/core/token"
+	"bramleywharf.example/core/wait"
 	"bramleywharf.example/entry/internal/engine"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
@@ -36,16 +37,15 @@
 	Current() (*conf.Snapshot, error)
 }
 
-// Steer orders engines to hold what is declared.
+// Steer orders engines to hold what is declared; when it is closed, its lease lapses by itself.
 type Steer struct {
+	*wait.Loop
 	self    string
 	store   store.Store
 	roles   Roles
 	source  Source
 	engines engine.Client
 	log     log.Interface
-	cancel  context.CancelFunc
-	done    chan struct{}
 	orders  *metrics.Counter
 	stale   *metrics.Counter
 
@@ -63,30 +63,13 @@
 		source:  source,
 		engines: engines,
 		log:     logger,
-		done:    make(chan struct{}),
 		orders:  set.GetOrCreateCounter("bramleywharf_engine_orders_total"),
 		stale:   set.GetOrCreateCounter("bramleywharf_engine_orders_refused_total"),
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	go func() {
-		defer close(s.done)
-		s.loop(ctx)
-	}()
+	s.Loop = wait.Start(s.loop)
 	return s
 }
 
-// Close stops ordering; the lease lapses by itself.
-func (s *Steer) Close() {
-	s.cancel()
-	<-s.done
-}
-
-// Done is closed when the controller has stopped.
-func (s *Steer) Done() <-chan struct{} {
-	return s.done
-}
-
 // extend writes the lease with this instance as its holder.
 func (s *Steer) extend(ctx context.Context, l fence.Lease, fresh bool) {
 	raw, err := json.Marshal(l)
--- a/entry/internal/watch/watch.go
+++ b/entry/internal/watch/watch.go
@@ -63,14 +63,13 @@
 
 // Watch keeps the configuration in force.
 type Watch struct {
+	*wait.Loop
 	store    store.Store
 	net      peer.Net
 	roles    Roles
 	log      log.Interface
 	snapshot *cell.Cell[*conf.Snapshot]
 	pulls    chan string
-	cancel   context.CancelFunc
-	done     chan struct{}
 	updates  *metrics.Counter
 	rejected *metrics.Counter
 
@@ -86,7 +85,6 @@
 		log:      logger,
 		snapshot: cell.New(conf.NewSnapshot()),
 		pulls:    make(chan string, 1),
-		done:     make(chan struct{}),
 		updates:  set.GetOrCreateCounter("bramleywharf_config_updates_total"),
 		rejected: set.GetOrCreateCounter("bramleywharf_config_objects_rejected_total"),
 	}
@@ -98,15 +96,12 @@
 // Start begins to watch in a role.
 func (w *Watch) Start(roles Roles) {
 	w.roles = roles
-	ctx, cancel := context.WithCancel(context.Background())
-	w.cancel = cancel
-	var group sync.WaitGroup
-	group.Go(func() { w.watchLoop(ctx) })
-	group.Go(func() { w.pullLoop(ctx) })
-	go func() {
-		defer close(w.done)
+	w.Loop = wait.Start(func(ctx context.Context) {
+		var group sync.WaitGroup
+		group.Go(func() { w.watchLoop(ctx) })
+		group.Go(func() { w.pullLoop(ctx) })
 		group.Wait()
-	}()
+	})
 }
 
 // Age returns the time since the snapshot was known to be the newest.
@@ -119,12 +114,6 @@
 	return time.Since(w.asOf)
 }
 
-// Close stops watching.
-func (w *Watch) Close() {
-	w.cancel()
-	<-w.done
-}
-
 // Current returns the snapshot in force, or an error while it cannot be known.
 func (w *Watch) Current() (*conf.Snapshot, error) {
 	s := w.snapshot.Load()
@@ -137,11 +126,6 @@
 	return s, nil
 }
 
-// Done is closed when the controller has stopped.
-func (w *Watch) Done() <-chan struct{} {
-	return w.done
-}
-
 // Handle answers a peer's pull.
 func (w *Watch) Handle(p wire.PullConfig) wire.Message {
 	s := w.snapshot.Load()
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -9,6 +9,7 @@
 	"bramleywharf.example/core/cell"
 	"bramleywharf.example/core/health"
 	"bramleywharf.example/core/site"
+	"bramleywharf.example/core/wait"
 	"bramleywharf.example/core/wire"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
@@ -48,6 +49,7 @@
 
 // Picker keeps the targets and chooses among them.
 type Picker struct {
+	*wait.Loop
 	source     Source
 	gone       func(address string) // gone is told the address of each target that is gone.
 	log        log.Interface
@@ -61,8 +63,6 @@
 	stale      atomic.Bool                         // stale tells that statements came that are not added up yet.
 	life       atomic.Int64                        // life is the age from which statements are forgotten, in nanoseconds.
 	turn       sync.Mutex                          // turn lets one goroutine reconcile at a time.
-	cancel     context.CancelFunc
-	done       chan struct{}
 
 	mu        sync.Mutex
 	name      string
@@ -85,31 +85,14 @@
 		heard:      make(map[string]statement),
 		places:     make(map[string]place),
 		losses:     set.GetOrCreateCounter("bramleywharf_targets_lost_total"),
-		done:       make(chan struct{}),
 	}
 	p.life.Store(int64(loadLife))
 	set.NewGauge("bramleywharf_targets", func() float64 { return float64(p.table.Load().roster.Len()) })
 	set.NewGauge("bramleywharf_targets_suspect", p.suspects)
-	ctx, cancel := context.WithCancel(context.Background())
-	p.cancel = cancel
-	go func() {
-		defer close(p.done)
-		p.loop(ctx)
-	}()
+	p.Loop = wait.Start(p.loop)
 	return p
 }
 
-// Close stops following the source.
-func (p *Picker) Close() {
-	p.cancel()
-	<-p.done
-}
-
-// Done is closed when the picker has stopped.
-func (p *Picker) Done() <-chan struct{} {
-	return p.done
-}
-
 // loop reconciles the table with the source.
 func (p *Picker) loop(ctx context.Context) {
 	for {
