link: one call for a whole exchange, one bound for unacknowledged bytes

Ruled out: streams and refusals in flight: they need the response before its body. Measured: no decision changes; tests of link (through Exchange now), send, flight, site, edge and the platform's end-to-end tests with the race detector.

--- a/core/site/successor.go
+++ b/core/site/successor.go
@@ -34,6 +34,9 @@
 
 // Apply returns the targets with successors in the places of those that they follow, and the successors that are still needed for that. A target that is followed has ended, so it is left out also when its successor has been listed itself or is given up; settled tells that what the platform does not list is gone.
 func (s Successors) Apply(targets []Target, now time.Time, settled bool) ([]Target, Successors) {
+	if s.Len() == 0 {
+		return targets, s
+	}
 	listed := make(map[string]bool, len(targets))
 	for _, t := range targets {
 		listed[t.Name] = true
--- a/entry/flight/copy.go
+++ b/entry/flight/copy.go
@@ -62,21 +62,15 @@
 	began := time.Now()
 	d.sender.Counts.Orders.Inc()
 	fields := log.Fields{"request": d.flight.call.ID, "target": runner.Name, "holder": holder.Name}
-	reply, err := d.sender.Link.Send(ctx, d.sender.Dialect.Copy(d.flight.call, runner, holder))
+	reply, body, err := d.sender.Link.Exchange(ctx, d.sender.Dialect.Copy(d.flight.call, runner, holder))
 	if err != nil {
 		d.sender.Log.WithFields(fields).WithError(err).Info("copy was not made")
 		return
 	}
-	status := reply.Status()
-	body, err := reply.Whole()
-	if err != nil {
-		d.sender.Log.WithFields(fields).WithError(err).Info("copy was not made")
-		return
-	}
-	handle, ok := d.sender.Dialect.Copied(status, body)
+	handle, ok := d.sender.Dialect.Copied(reply.Status(), body)
 	if !ok {
 		d.refused = holder.Name
-		d.sender.Log.WithFields(fields).WithField("status", status).Info("copy was not made")
+		d.sender.Log.WithFields(fields).WithField("status", reply.Status()).Info("copy was not made")
 		return
 	}
 	next := &copied{
@@ -104,11 +98,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
 	go func() {
 		defer cancel()
-		reply, err := g.sender.Link.Send(ctx, g.sender.Dialect.Drop(c.source))
-		if err == nil {
-			_, err = reply.Whole()
-		}
-		if err != nil {
+		if _, _, err := g.sender.Link.Exchange(ctx, g.sender.Dialect.Drop(c.source)); err != nil {
 			g.sender.Log.WithError(err).WithFields(log.Fields{"request": g.call.ID, "holder": c.holder.Name}).Info("copy was not freed; it lapses by itself")
 		}
 	}()
--- a/entry/flight/guard.go
+++ b/entry/flight/guard.go
@@ -109,7 +109,7 @@
 func (d *guard) ask(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	reply, err := d.sender.Link.Send(ctx, d.sender.Dialect.Ask(d.pick.Target))
+	_, body, err := d.sender.Link.Exchange(ctx, d.sender.Dialect.Ask(d.pick.Target))
 	var unsent *link.NotSentError
 	if errors.As(err, &unsent) {
 		return errDark
@@ -117,10 +117,6 @@
 	if err != nil {
 		return nil // A target that is slow to report may still be reading the prompt; the patience decides.
 	}
-	body, err := reply.Whole()
-	if err != nil {
-		return nil // As above.
-	}
 	p, err := d.sender.Dialect.Progress(d.flight.call.ID, body)
 	if err != nil {
 		d.sender.Log.WithError(err).WithField("target", d.pick.Target.Name).Info("report cannot be read")
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -8,7 +8,6 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"bramleywharf.example/core/member"
@@ -323,9 +322,7 @@
 func (i *Instance) serve(server *http.Server, address string) error {
 	config := net.ListenConfig{
 		KeepAliveConfig: link.KeepAlive(),
-		Control: func(_, _ string, c syscall.RawConn) error {
-			return c.Control(func(fd uintptr) { link.SetUserTimeout(int(fd)) })
-		},
+		Control:         link.BoundUnacknowledged,
 	}
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -94,9 +94,7 @@
 	return net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: KeepAlive(),
-		Control: func(_, _ string, c syscall.RawConn) error {
-			return c.Control(func(fd uintptr) { SetUserTimeout(int(fd)) })
-		},
+		Control:         BoundUnacknowledged,
 	}
 }
 
@@ -115,9 +113,9 @@
 	return setUserTimeout(fd)
 }
 
-// SetUserTimeout bounds how long sent bytes may stay unacknowledged; a connection serves without it as well, and CheckUserTimeout tells once where it fails.
-func SetUserTimeout(fd int) {
-	_ = setUserTimeout(fd)
+// BoundUnacknowledged bounds how long sent bytes may stay unacknowledged on a socket that is being made; a connection serves without it as well, and CheckUserTimeout tells once where it fails.
+func BoundUnacknowledged(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) { _ = setUserTimeout(int(fd)) })
 }
 
 // setUserTimeout sets the bound on a socket.
@@ -179,6 +177,19 @@
 	return reply, nil
 }
 
+// Exchange sends a request and returns its response with the whole body.
+func (l *Link) Exchange(ctx context.Context, r Request) (*Reply, []byte, error) {
+	reply, err := l.Send(ctx, r)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := reply.Whole()
+	if err != nil {
+		return nil, nil, err
+	}
+	return reply, body, nil
+}
+
 // dial opens a connection.
 func (l *Link) dial(ctx context.Context, address string) (*conn, error) {
 	l.opened.Inc()
--- a/entry/link/link_test.go
+++ b/entry/link/link_test.go
@@ -68,11 +68,7 @@
 func ask(l *Link, r Request) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	reply, err := l.Send(ctx, r)
-	if err != nil {
-		return "", err
-	}
-	body, err := reply.Whole()
+	_, body, err := l.Exchange(ctx, r)
 	return string(body), err
 }
 
--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -191,7 +191,7 @@
 	}
 	message := e.sender.Outgoing(send.Send{Call: e.call, Target: pick.Target, Left: send.Left(e.call, e.request)}, e.request, !e.idempotent)
 	e.sender.Counts.Sends.Inc()
-	reply, err := e.sender.Link.Send(ctx, message)
+	reply, body, err := e.sender.Link.Exchange(ctx, message)
 	var unsent *link.NotSentError
 	if errors.As(err, &unsent) {
 		e.sender.Counts.Unsent.Inc()
@@ -205,10 +205,6 @@
 	if err != nil {
 		return lost{err: err}
 	}
-	body, err := reply.Whole()
-	if err != nil {
-		return lost{err: err}
-	}
 	return e.verdict(ctx, pick, reply, body, time.Since(began))
 }
 
--- a/entry/send/successor.go
+++ b/entry/send/successor.go
@@ -20,12 +20,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	line := s.Log.WithFields(log.Fields{"request": c.ID, "target": holder, "address": pick.Target.Address})
-	reply, err := s.Link.Send(ctx, s.Dialect.Ask(pick.Target))
-	if err != nil {
-		line.WithError(err).Info("target at another one's address does not say what it is")
-		return
-	}
-	body, err := reply.Whole()
+	reply, body, err := s.Link.Exchange(ctx, s.Dialect.Ask(pick.Target))
 	if err != nil {
 		line.WithError(err).Info("target at another one's address does not say what it is")
 		return
