picker: the table of targets is built by one walk over sorted slices

Cause: each change of any target built five maps of all targets, and made the fields of a log line for each of them. Change: TargetSet is a sorted slice; ChangesSince gives what was added, ended or started to drain, and only those are logged. The table holds states in the same order, so choosing looks no target up by name. A choice at 3,000 is still over 50 us.

--- a/core/site/site_test.go
+++ b/core/site/site_test.go
@@ -95,22 +95,33 @@
 	}
 }
 
-func TestEndedSince(t *testing.T) {
-	before := Target{Name: "a", Service: "s", Address: "1", StartID: 1}
+func TestChangesSince(t *testing.T) {
+	before := Target{Name: "b", Service: "s", Address: "1", StartID: 1}
+	other := Target{Name: "c", Service: "s", Address: "3"}
+	leaving := before
+	leaving.Leaving = true
+	restarted := Target{Name: "b", Service: "s", Address: "1", StartID: 2}
+	moved := Target{Name: "b", Service: "s", Address: "2", StartID: 1}
+	first := Target{Name: "a", Service: "s", Address: "4"}
+	last := Target{Name: "d", Service: "s", Address: "5"}
 	cases := map[string]struct {
 		targets []Target
-		want    bool
+		want    Changes
 	}{
-		"same":          {[]Target{before}, false},
-		"removed":       {nil, true},
-		"restarted":     {[]Target{{Name: "a", Service: "s", Address: "1", StartID: 2}}, true},
-		"other-address": {[]Target{{Name: "a", Service: "s", Address: "2", StartID: 1}}, true},
-		"leaving":       {[]Target{{Name: "a", Service: "s", Address: "1", StartID: 1, Leaving: true}}, false},
+		"same":          {[]Target{before, other}, Changes{}},
+		"removed":       {[]Target{other}, Changes{Ended: []Target{before}}},
+		"all-removed":   {nil, Changes{Ended: []Target{before, other}}},
+		"restarted":     {[]Target{restarted, other}, Changes{Ended: []Target{before}}},
+		"other-address": {[]Target{moved, other}, Changes{Ended: []Target{before}}},
+		"leaving":       {[]Target{leaving, other}, Changes{Draining: []Target{leaving}}},
+		"added":         {[]Target{last, other, first, before}, Changes{Added: []Target{first, last}}},
+		"replaced":      {[]Target{first, other}, Changes{Added: []Target{first}, Ended: []Target{before}}},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			old := (&TargetSet{}).WithTargets([]Target{before}, time.Now(), 0)
-			quicktest.Assert(t, old.WithTargets(test.targets, time.Now(), 0).EndedSince(old)["a"], quicktest.Equals, test.want)
+			old := (&TargetSet{}).WithTargets([]Target{before, other}, time.Now(), 0)
+			got := old.WithTargets(test.targets, time.Now(), 0).ChangesSince(old)
+			quicktest.Assert(t, got, quicktest.DeepEquals, test.want)
 		})
 	}
 }
--- a/core/site/target.go
+++ b/core/site/target.go
@@ -1,9 +1,8 @@
 package site
 
 import (
-	"cmp"
-	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -27,40 +26,65 @@
 
 // TargetSet is the set of known targets. It is immutable.
 type TargetSet struct {
-	targets            map[string]Target // By name.
-	missingSince       map[string]time.Time
-	availableByService map[string][]Target
+	targets      []Target // Sorted by name.
+	missingSince map[string]time.Time
 }
 
-// All returns all targets in no particular order.
+// Changes are the differences between two sets of targets.
+type Changes struct {
+	Added    []Target
+	Draining []Target // Draining holds the targets that have started to drain.
+	Ended    []Target // Ended holds the older declarations of targets that were removed, restarted or moved.
+}
+
+// All returns all targets, sorted by name; the caller must not modify them.
 func (s *TargetSet) All() []Target {
-	return slices.Collect(maps.Values(s.targets))
+	return s.targets
 }
 
 // Available returns the targets of a service that are not draining, sorted by name.
 func (s *TargetSet) Available(service string) []Target {
-	return s.availableByService[service]
+	var available []Target
+	for _, t := range s.targets {
+		if t.Service == service && !t.Leaving {
+			available = append(available, t)
+		}
+	}
+	return available
 }
 
-// EndedSince returns the names of old's targets that were removed, restarted or took another address since.
-func (s *TargetSet) EndedSince(old *TargetSet) map[string]bool {
-	ended := make(map[string]bool)
-	if old == nil {
-		return ended
-	}
-	for name, before := range maps.All(old.targets) {
-		current, ok := s.targets[name]
-		if !ok || !current.IsSameStart(before) {
-			ended[name] = true
+// ChangesSince returns what has changed since an older set, in the order of the targets' names.
+func (s *TargetSet) ChangesSince(old *TargetSet) Changes {
+	var c Changes
+	before := old.targets
+	for _, t := range s.targets {
+		for len(before) > 0 && before[0].Name < t.Name {
+			c.Ended = append(c.Ended, before[0])
+			before = before[1:]
 		}
+		if len(before) == 0 || before[0].Name != t.Name {
+			c.Added = append(c.Added, t)
+			continue
+		}
+		if t.Leaving && !before[0].Leaving {
+			c.Draining = append(c.Draining, t)
+		}
+		if !t.IsSameStart(before[0]) {
+			c.Ended = append(c.Ended, before[0])
+		}
+		before = before[1:]
 	}
-	return ended
+	c.Ended = append(c.Ended, before...)
+	return c
 }
 
 // Get returns a target by name.
 func (s *TargetSet) Get(name string) (Target, bool) {
-	t, ok := s.targets[name]
-	return t, ok
+	i, ok := s.Index(name)
+	if !ok {
+		return Target{}, false
+	}
+	return s.targets[i], true
 }
 
 // HasMissing reports whether the set keeps targets that are no longer listed.
@@ -68,6 +92,11 @@
 	return len(s.missingSince) > 0
 }
 
+// Index returns the position of a target in All, and whether the set has it.
+func (s *TargetSet) Index(name string) (int, bool) {
+	return slices.BinarySearchFunc(s.targets, name, func(t Target, name string) int { return strings.Compare(t.Name, name) })
+}
+
 // Len returns the number of targets.
 func (s *TargetSet) Len() int {
 	return len(s.targets)
@@ -76,57 +105,74 @@
 // WithTargets returns a set of the given targets.
 // A target that only s has is kept until the retention time has passed since it was first missing.
 func (s *TargetSet) WithTargets(targets []Target, now time.Time, retention time.Duration) *TargetSet {
-	next := &TargetSet{
-		targets:            make(map[string]Target, len(targets)),
-		missingSince:       make(map[string]time.Time),
-		availableByService: make(map[string][]Target),
-	}
-	for _, t := range newestByAddress(targets) {
-		next.targets[t.Name] = t
-	}
+	next := &TargetSet{targets: newestByAddress(targets)}
 	if s != nil && retention > 0 {
 		next.retainMissing(s, now, retention)
 	}
-	for _, t := range next.targets {
-		if !t.Leaving {
-			next.availableByService[t.Service] = append(next.availableByService[t.Service], t)
-		}
-	}
-	for _, available := range next.availableByService {
-		slices.SortFunc(available, func(a, b Target) int { return cmp.Compare(a.Name, b.Name) })
-	}
 	return next
 }
 
 // retainMissing adds those targets of an older set that are not draining, went missing less than the
 // retention time ago and whose address no listed target uses.
 func (s *TargetSet) retainMissing(old *TargetSet, now time.Time, retention time.Duration) {
+	ended := s.ChangesSince(old).Ended
+	if len(ended) == 0 {
+		return
+	}
 	usedAddresses := make(map[string]bool, len(s.targets))
 	for _, t := range s.targets {
 		usedAddresses[t.Address] = true
 	}
-	for name, t := range old.targets {
-		if _, listed := s.targets[name]; listed || usedAddresses[t.Address] || t.Leaving {
+	var retained []Target
+	for _, t := range ended {
+		if _, listed := s.Index(t.Name); listed || t.Leaving || usedAddresses[t.Address] {
 			continue
 		}
-		since, ok := old.missingSince[name]
+		since, ok := old.missingSince[t.Name]
 		if !ok {
 			since = now
 		}
 		if now.Sub(since) < retention {
-			s.targets[name] = t
-			s.missingSince[name] = since
+			retained = append(retained, t)
+			if s.missingSince == nil {
+				s.missingSince = make(map[string]time.Time)
+			}
+			s.missingSince[t.Name] = since
 		}
 	}
+	if len(retained) > 0 {
+		s.targets = append(s.targets, retained...)
+		sortByName(s.targets)
+	}
 }
 
-// newestByAddress returns the newest target at each address: a target may restart there under another name.
+// newestByAddress returns the newest target at each address, sorted by name: a target may restart there under another
+// name.
 func newestByAddress(targets []Target) []Target {
-	byAddress := make(map[string]Target, len(targets))
+	newest := make([]Target, 0, len(targets))
+	positions := make(map[string]int, len(targets))
 	for _, t := range targets {
-		if other, known := byAddress[t.Address]; !known || t.Revision > other.Revision {
-			byAddress[t.Address] = t
+		i, known := positions[t.Address]
+		switch {
+		case !known:
+			positions[t.Address] = len(newest)
+			newest = append(newest, t)
+		case t.Revision > newest[i].Revision:
+			newest[i] = t
 		}
 	}
-	return slices.Collect(maps.Values(byAddress))
+	if !slices.IsSortedFunc(newest, compareNames) {
+		sortByName(newest)
+	}
+	return newest
+}
+
+// sortByName sorts targets by name.
+func sortByName(targets []Target) {
+	slices.SortFunc(targets, compareNames)
+}
+
+// compareNames compares targets by name.
+func compareNames(a, b Target) int {
+	return strings.Compare(a.Name, b.Name)
 }
--- a/entry/picker/bench_test.go
+++ b/entry/picker/bench_test.go
@@ -16,7 +16,7 @@
 func newLoadedPicker(b *testing.B, instances, targets int) (*Picker, []wire.LoadReport) {
 	source := staticSource{changed: make(chan struct{})}
 	for i := range targets {
-		source.targets = append(source.targets, site.Target{Name: fmt.Sprint("i-00000", i), Service: "s", Address: fmt.Sprint("10.0.0.1:", i), Domain: "x", Revision: uint64(i + 1)})
+		source.targets = append(source.targets, site.Target{Name: fmt.Sprintf("i-%06d", i), Service: "s", Address: fmt.Sprint("10.0.0.1:", i), Domain: "x", Revision: uint64(i + 1)})
 	}
 	p := New(source, func(string) {}, &log.Logger{Handler: discard.New()}, metrics.NewSet())
 	b.Cleanup(p.Close)
@@ -28,7 +28,7 @@
 	for i := range reports {
 		reports[i] = wire.LoadReport{Instance: fmt.Sprint("instance-", i), Sequence: 1}
 		for n := range 12 {
-			target := fmt.Sprint("i-00000", (i*31+n*7)%targets)
+			target := fmt.Sprintf("i-%06d", (i*31+n*7)%targets)
 			reports[i].Targets = append(reports[i].Targets, wire.TargetLoad{Target: target, Streams: 1, PendingPromptTokens: 8000, Replicas: 1})
 			reports[i].Sessions = append(reports[i].Sessions, wire.SessionTarget{Session: fmt.Sprint("session-", i, "-", n), Target: target})
 		}
@@ -89,3 +89,20 @@
 		})
 	}
 }
+
+// BenchmarkReconcile measures the update of the table after one of many targets has changed.
+func BenchmarkReconcile(b *testing.B) {
+	for name, size := range map[string]int{"30": 30, "486": 486, "3000": 3000} {
+		b.Run(name, func(b *testing.B) {
+			p, _ := newLoadedPicker(b, 1, size)
+			source := p.source.(staticSource)
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				target := &source.targets[n%size]
+				target.Leaving = !target.Leaving
+				target.Revision += uint64(size)
+				p.reconcile()
+			}
+		})
+	}
+}
--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -74,9 +74,8 @@
 	now := time.Now()
 	best, bestCost := 0, 0.0
 	for i, target := range candidates {
-		s := t.states[target.Name]
-		healthStatus := s.healthStatus.Load()
-		cost := float64(s.inFlight.Load()+1) * healthStatus.Cost(now, defaultLatency) * (1 + rand.Float64()/4)
+		healthStatus := target.state.healthStatus.Load()
+		cost := float64(target.state.inFlight.Load()+1) * healthStatus.Cost(now, defaultLatency) * (1 + rand.Float64()/4)
 		if i == 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -84,7 +83,7 @@
 	if rand.Float64() < exploreShare {
 		best = rand.IntN(len(candidates))
 	}
-	return p.reserve(t, *candidates[best], 0), true
+	return p.reserve(candidates[best], 0), true
 }
 
 // Stream chooses the target with the lowest cost for a stream. The cost is the load from all instances; the first few
@@ -100,13 +99,13 @@
 	previous := p.lastTarget(want.Session)
 	best := candidate{}
 	for i, target := range candidates {
-		cost := t.states[target.Name].cost() + order.rankCost(i)
+		cost := target.state.cost() + order.rankCost(i)
 		if target.Name == previous {
 			cost -= cachedPromptGain
 		}
 		best = best.orCheaper(target, cost, order.scores[i])
 	}
-	return p.reserveStream(t, *best.target, want), true
+	return p.reserveStream(best.target, want), true
 }
 
 // Backup chooses the target that keeps a replica of a stream's prompt memory, from which the stream can be resumed: the
@@ -119,46 +118,51 @@
 	order := newSessionOrder(want.Session, candidates)
 	best := candidate{}
 	for i, target := range candidates {
-		if !t.states[target.Name].hasReplicaRoom(want) {
+		if !target.state.hasReplicaRoom(want) {
 			continue
 		}
-		totalCost := t.states[target.Name].cost() + order.rankCost(i)
+		totalCost := target.state.cost() + order.rankCost(i)
 		if target.Domain == domain {
 			totalCost += sameDomainCost
 		}
 		best = best.orCheaper(target, totalCost, order.scores[i])
 	}
-	if best.target == nil {
+	if best.target.Target == nil {
 		return site.Target{}, false
 	}
-	return *best.target, true
+	return *best.target.Target, true
 }
 
 // IsSound reports whether a target is neither removed, restarted, draining nor suspect.
 func (p *Picker) IsSound(target site.Target) bool {
-	t := p.targetTable.Load()
-	current, ok := t.targetSet.Get(target.Name)
-	return ok && !current.Leaving && current.IsSameStart(target) &&
-		!t.states[target.Name].healthStatus.Load().IsSuspect(time.Now())
+	_, ok := p.soundEntry(target)
+	return ok
 }
 
 // Sound picks a given target for a stream if IsSound holds for it.
 func (p *Picker) Sound(target site.Target, want Want) (*Pick, bool) {
-	if !p.IsSound(target) {
+	current, ok := p.soundEntry(target)
+	if !ok {
 		return nil, false
 	}
+	want.Prompt = 0
+	return p.reserveStream(current, want), true
+}
+
+// soundEntry returns the current entry of a target, and false unless IsSound holds for it.
+func (p *Picker) soundEntry(target site.Target) (entry, bool) {
 	t := p.targetTable.Load()
-	current, ok := t.targetSet.Get(target.Name)
+	i, ok := t.targetSet.Index(target.Name)
 	if !ok {
-		return nil, false
+		return entry{}, false
 	}
-	want.Prompt = 0
-	return p.reserveStream(t, current, want), true
+	current := entry{Target: &t.targetSet.All()[i], state: t.states[i]}
+	return current, !current.Leaving && current.IsSameStart(target) && !current.state.healthStatus.Load().IsSuspect(time.Now())
 }
 
 // reserveStream counts a stream on a target and records the target as that of the session.
-func (p *Picker) reserveStream(t targetTable, target site.Target, want Want) *Pick {
-	k := p.reserve(t, target, want.Prompt)
+func (p *Picker) reserveStream(target entry, want Want) *Pick {
+	k := p.reserve(target, want.Prompt)
 	k.isStream, k.session = true, want.Session
 	k.targetState.streams.Add(1)
 	p.addStream(want.Session, target.Name)
@@ -167,7 +171,7 @@
 
 // Keep counts a replica on a target until release is called.
 func (p *Picker) Keep(target site.Target) (release func()) {
-	s, ok := p.targetTable.Load().states[target.Name]
+	s, ok := p.targetTable.Load().state(target.Name)
 	if !ok {
 		return func() {}
 	}
@@ -176,11 +180,10 @@
 }
 
 // reserve counts a request on a target.
-func (p *Picker) reserve(t targetTable, target site.Target, promptTokens int) *Pick {
-	s := t.states[target.Name]
-	s.inFlight.Add(1)
-	s.unreadTokens.Add(int64(promptTokens))
-	return &Pick{Target: target, targetState: s, picker: p, promptTokens: promptTokens}
+func (p *Picker) reserve(target entry, promptTokens int) *Pick {
+	target.state.inFlight.Add(1)
+	target.state.unreadTokens.Add(int64(promptTokens))
+	return &Pick{Target: *target.Target, targetState: target.state, picker: p, promptTokens: promptTokens}
 }
 
 // DomainLostSince reports whether any target in the pick's failure domain was lost after a time, as observed here or
@@ -271,16 +274,16 @@
 
 // candidate is the best target so far; the zero value is none.
 type candidate struct {
-	target *site.Target
+	target entry
 	cost   float64
 	score  uint64
 }
 
 // orCheaper returns the given target if it costs less than c, or as much and precedes it in the order of the session;
 // otherwise c.
-func (c candidate) orCheaper(target *site.Target, cost float64, score uint64) candidate {
+func (c candidate) orCheaper(target entry, cost float64, score uint64) candidate {
 	switch {
-	case c.target == nil, cost < c.cost:
+	case c.target.Target == nil, cost < c.cost:
 	case cost > c.cost, score < c.score, score == c.score && target.Name > c.target.Name:
 		return c
 	}
@@ -295,7 +298,7 @@
 }
 
 // newSessionOrder scores the targets for a session and ranks the first of them.
-func newSessionOrder(session string, targets []*site.Target) *sessionOrder {
+func newSessionOrder(session string, targets []entry) *sessionOrder {
 	o := &sessionOrder{scores: make([]uint64, len(targets))}
 	for rank := range o.ranked {
 		o.ranked[rank] = -1
@@ -321,7 +324,7 @@
 }
 
 // insert puts the i-th target into its rank if it is among the first.
-func (o *sessionOrder) insert(i int, targets []*site.Target) {
+func (o *sessionOrder) insert(i int, targets []entry) {
 	for rank, other := range o.ranked {
 		if other >= 0 && (o.scores[other] > o.scores[i] || o.scores[other] == o.scores[i] && targets[other].Name < targets[i].Name) {
 			continue
@@ -334,14 +337,13 @@
 
 // candidatesFor returns the targets of a service that take new requests and are neither avoided nor suspect or, when
 // there is none, the suspect ones that have not ended.
-func candidatesFor(t targetTable, want Want) []*site.Target {
+func candidatesFor(t targetTable, want Want) []entry {
 	now := time.Now()
-	available := t.targetSet.Available(want.Service)
-	healthy := make([]*site.Target, 0, len(available))
-	var suspects []*site.Target
-	for i := range available {
-		target := &available[i]
-		healthStatus := t.states[target.Name].healthStatus.Load()
+	available := t.available[want.Service]
+	healthy := make([]entry, 0, len(available))
+	var suspects []entry
+	for _, target := range available {
+		healthStatus := target.state.healthStatus.Load()
 		switch {
 		case want.Avoid[target.Name] || healthStatus.IsReplaced():
 		case healthStatus.IsSuspect(now):
--- a/entry/picker/loads.go
+++ b/entry/picker/loads.go
@@ -139,8 +139,9 @@
 // targetLoads returns this instance's load on each target where it has any.
 func (p *Picker) targetLoads() []wire.TargetLoad {
 	var targetLoads []wire.TargetLoad
-	for name, s := range p.targetTable.Load().states {
-		load := wire.TargetLoad{Target: name, Streams: int(s.streams.Load()), PendingPromptTokens: int(s.unreadTokens.Load()), Replicas: int(s.replicas.Load())}
+	table := p.targetTable.Load()
+	for i, s := range table.states {
+		load := wire.TargetLoad{Target: table.targetSet.All()[i].Name, Streams: int(s.streams.Load()), PendingPromptTokens: int(s.unreadTokens.Load()), Replicas: int(s.replicas.Load())}
 		if load.Streams > 0 || load.PendingPromptTokens > 0 || load.Replicas > 0 {
 			targetLoads = append(targetLoads, load)
 		}
@@ -188,8 +189,9 @@
 			loadByTarget[targetLoad.Target] = sum
 		}
 	}
-	for name, s := range p.targetTable.Load().states {
-		sum := loadByTarget[name]
+	table := p.targetTable.Load()
+	for i, s := range table.states {
+		sum := loadByTarget[table.targetSet.All()[i].Name]
 		s.remoteLoad.Store(&sum)
 	}
 }
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -46,10 +46,56 @@
 	healthStatus atomic.Pointer[health.Estimate]
 }
 
-// targetTable is the set of targets with the state of each by name; its maps are never changed after construction.
+// targetTable is the set of targets with the state of each; it is never changed after construction.
 type targetTable struct {
 	targetSet *site.TargetSet
-	states    map[string]*targetState
+	states    []*targetState     // states holds the state of each target, in the order of targetSet.All.
+	available map[string][]entry // available maps services to their targets that are not draining.
+}
+
+// entry is a target and the state that this instance keeps for it.
+type entry struct {
+	*site.Target
+	state *targetState
+}
+
+// newTargetTable returns a table of targets. A target that was not restarted keeps its state of the previous table.
+func newTargetTable(previous targetTable, targetSet *site.TargetSet) targetTable {
+	targets := targetSet.All()
+	next := targetTable{targetSet: targetSet, states: make([]*targetState, len(targets)), available: make(map[string][]entry)}
+	old, position := previous.targetSet.All(), 0
+	for i := range targets {
+		target := &targets[i]
+		for position < len(old) && old[position].Name < target.Name {
+			position++
+		}
+		if position < len(old) && target.IsSameStart(previous.states[position].target) {
+			next.states[i] = previous.states[position]
+		} else {
+			next.states[i] = newTargetState(*target)
+		}
+		if !target.Leaving {
+			next.available[target.Service] = append(next.available[target.Service], entry{Target: target, state: next.states[i]})
+		}
+	}
+	return next
+}
+
+// state returns the state of a target by name.
+func (t targetTable) state(name string) (*targetState, bool) {
+	i, ok := t.targetSet.Index(name)
+	if !ok {
+		return nil, false
+	}
+	return t.states[i], true
+}
+
+// newTargetState returns the state of a target that nothing is known of yet.
+func newTargetState(target site.Target) *targetState {
+	s := &targetState{target: target}
+	s.healthStatus.Store(&health.Estimate{})
+	s.remoteLoad.Store(&wire.TargetLoad{})
+	return s
 }
 
 // Picker tracks the targets and chooses among them.
@@ -85,7 +131,7 @@
 		source:      source,
 		onRemoved:   onRemoved,
 		log:         logger,
-		targetTable: cell.New(targetTable{targetSet: (&site.TargetSet{}).WithTargets(nil, time.Now(), 0)}),
+		targetTable: cell.New(targetTable{targetSet: &site.TargetSet{}}),
 		successors:  cell.New(site.Successors{}),
 		startedAt:   time.Now(),
 		received:    make(map[string]receivedReport),
@@ -133,47 +179,28 @@
 	var old, next *site.TargetSet
 	p.targetTable.Update(func(t targetTable) targetTable {
 		old, next = t.targetSet, t.targetSet.WithTargets(targets, time.Now(), grace)
-		return targetTable{targetSet: next, states: states(t, next)}
+		return newTargetTable(t, next)
 	})
 	p.sumsStale.Store(true) // New targets have no remote load yet.
-	for name := range next.EndedSince(old) {
-		previous, _ := old.Get(name)
-		p.onRemoved(previous.Address)
-		p.markEnded(name, time.Now())
-		p.log.WithFields(log.Fields{"target": name, "address": previous.Address, "revision": previous.Revision}).Info("target was removed, restarted or moved")
+	changes := next.ChangesSince(old)
+	for _, ended := range changes.Ended {
+		p.onRemoved(ended.Address)
+		p.markEnded(ended.Name, time.Now())
+		p.logTarget(ended).Info("target was removed, restarted or moved")
 	}
-	p.logChanges(old, next)
-}
-
-// logChanges logs targets that were added or have started to drain.
-func (p *Picker) logChanges(old, next *site.TargetSet) {
-	for _, t := range next.All() {
-		previous, known := old.Get(t.Name)
-		fields := log.Fields{"target": t.Name, "address": t.Address, "service": t.Service, "domain": t.Domain, "revision": t.Revision}
-		switch {
-		case !known && old.Len() > 0:
-			p.log.WithFields(fields).Info("target was added")
-		case known && t.Leaving && !previous.Leaving:
-			p.log.WithFields(fields).Info("target is draining")
+	if old.Len() > 0 {
+		for _, added := range changes.Added {
+			p.logTarget(added).Info("target was added")
 		}
 	}
+	for _, draining := range changes.Draining {
+		p.logTarget(draining).Info("target is draining")
+	}
 }
 
-// states returns the states of the targets of a set. A target that was not restarted keeps its previous state.
-func states(previous targetTable, targetSet *site.TargetSet) map[string]*targetState {
-	next := make(map[string]*targetState, targetSet.Len())
-	for _, target := range targetSet.All() {
-		old, ok := previous.states[target.Name]
-		if ok && target.IsSameStart(old.target) {
-			next[target.Name] = old
-			continue
-		}
-		fresh := &targetState{target: target}
-		fresh.healthStatus.Store(&health.Estimate{})
-		fresh.remoteLoad.Store(&wire.TargetLoad{})
-		next[target.Name] = fresh
-	}
-	return next
+// logTarget returns a logger with the fields of a target.
+func (p *Picker) logTarget(t site.Target) log.Interface {
+	return p.log.WithFields(log.Fields{"target": t.Name, "address": t.Address, "service": t.Service, "domain": t.Domain, "revision": t.Revision})
 }
 
 // suspectCount returns the number of suspect targets.
--- a/entry/picker/picker_test.go
+++ b/entry/picker/picker_test.go
@@ -261,11 +261,11 @@
 	for name, size := range cases {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
-			targets := make([]*site.Target, size)
+			targets := make([]entry, size)
 			names := make([]string, size)
 			for i := range targets {
 				names[i] = fmt.Sprint("target-", i)
-				targets[i] = &site.Target{Name: names[i]}
+				targets[i] = entry{Target: &site.Target{Name: names[i]}}
 			}
 			for n := range 50 {
 				session := fmt.Sprint("session-", n)
