fleet: an election ranks nobody but the instance itself

Cause: every instance sorted all members by hash up to 40 times a second to see whether it watches the store, and each heartbeat sorted them by name. Change: View.IsAmongFirst counts the members that precede one and stops at the bound. A heartbeat that repeats what is known leaves the view as it is.

--- a/core/member/view.go
+++ b/core/member/view.go
@@ -100,6 +100,44 @@
 	return m, ok
 }
 
+// Impaired returns the members at a peer address that are suspect or dead, in no particular order.
+func (v View) Impaired(peerAddress string) []Member {
+	var impaired []Member
+	for _, m := range v.members {
+		if m.State != Alive && m.PeerAddress == peerAddress {
+			impaired = append(impaired, m)
+		}
+	}
+	return impaired
+}
+
+// IsAmongFirst reports whether a member is one of the first count of the alive members in rendezvous order for a key.
+// It ranks no others: the check runs many times a second, and most members find count others before them early.
+func (v View) IsAmongFirst(key, name string, count int) bool {
+	if m, ok := v.members[name]; !ok || !m.isAlive() {
+		return false
+	}
+	score := route.Score(key, name)
+	preceding := 0
+	for _, m := range v.members {
+		if !m.isAlive() || m.Name == name {
+			continue
+		}
+		if other := route.Score(key, m.Name); other > score || other == score && m.Name < name {
+			preceding++
+		}
+		if preceding >= count {
+			return false
+		}
+	}
+	return count > 0
+}
+
+// isAlive reports whether the member is alive and has sent an update itself.
+func (m Member) isAlive() bool {
+	return m.State == Alive && m.Incarnation > 0
+}
+
 // Len returns the number of known members, dead ones included.
 func (v View) Len() int {
 	return len(v.members)
--- a/core/member/view_test.go
+++ b/core/member/view_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
+	"bramleywharf.example/core/route"
 	"github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 )
@@ -38,6 +40,31 @@
 	})
 }
 
+// TestIsAmongFirst compares the check with the complete rendezvous ranking of the alive members.
+func TestIsAmongFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var v View
+		for _, m := range rapid.SliceOfN(rapid.Custom(drawMember), 1, 12).Draw(t, "updates") {
+			v, _ = v.WithMember(m)
+		}
+		var alive []string
+		for _, m := range v.All() {
+			if m.State == Alive && m.Incarnation > 0 {
+				alive = append(alive, m.Name)
+			}
+		}
+		key := rapid.String().Draw(t, "key")
+		count := rapid.IntRange(0, 4).Draw(t, "count")
+		ranked := route.Rank(key, alive)
+		first := ranked[:min(count, len(ranked))]
+		for _, m := range v.All() {
+			if got := v.IsAmongFirst(key, m.Name, count); got != slices.Contains(first, m.Name) {
+				t.Fatalf("%s among the first %d of %v: %t", m.Name, count, ranked, got)
+			}
+		}
+	})
+}
+
 func TestWithMember(t *testing.T) {
 	known := Member{Name: "n", Incarnation: 5, State: Suspect}
 	cases := map[string]struct {
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -165,6 +165,9 @@
 	if m.Name == f.settings.Self.Name {
 		m = f.refute(m)
 	}
+	if _, changed := f.View().WithMember(m); !changed {
+		return // Nearly every heartbeat repeats what is known; it must not replace the view.
+	}
 	changed := false
 	var current member.Member
 	f.view.Update(func(v member.View) member.View {
@@ -194,11 +197,7 @@
 	} else {
 		gossip.Members = f.updateQueue.take()
 	}
-	for _, m := range view.All() {
-		if m.PeerAddress == recipient && m.State != member.Alive {
-			gossip.Members = append(gossip.Members, m)
-		}
-	}
+	gossip.Members = append(gossip.Members, view.Impaired(recipient)...)
 	return gossip
 }
 
--- a/entry/fleet/loop.go
+++ b/entry/fleet/loop.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"bramleywharf.example/core/member"
-	"bramleywharf.example/core/route"
 	"bramleywharf.example/core/store"
 	"bramleywharf.example/core/wire"
 )
@@ -19,21 +18,7 @@
 // Elected reports whether this instance is one of the count instances that act for the fleet in a role. They are chosen
 // by rendezvous hashing over the members that are alive, so each instance decides for itself.
 func (f *Fleet) Elected(role string, count int) bool {
-	var names []string
-	for _, m := range f.View().Live() {
-		if m.State == member.Alive && m.Incarnation > 0 {
-			names = append(names, m.Name)
-		}
-	}
-	for i, name := range route.Rank(role, names) {
-		if i == count {
-			return false
-		}
-		if name == f.settings.Self.Name {
-			return true
-		}
-	}
-	return false
+	return f.View().IsAmongFirst(role, f.settings.Self.Name, count)
 }
 
 // Quorum reports whether more than half of the expected members are alive in this instance's view.
