feed: a page that only moves the revision wakes nobody

Cause: the store counts one revision for all kinds, so nearly every pull moved it, and each time the configuration was decoded from JSON and the table of targets built anew although no object differed. Change: Cell.UpdateNotify; Feed closes its channel only when an object changed. Ruled out: checks in each reader, since all of them want the same. Test: TestChanged failed before in newer-revision-only and same-list.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -33,12 +33,20 @@
 
 // Update replaces the value with the result of change and returns it; concurrent updates run one at a time.
 func (c *Cell[T]) Update(change func(T) T) T {
+	return c.UpdateNotify(func(old T) (T, bool) { return change(old), true })
+}
+
+// UpdateNotify does the same, but the channel of Changed closes only if change returns true. Values whose readers poll
+// only a part of them, such as a revision, need not wake the readers that wait.
+func (c *Cell[T]) UpdateNotify(change func(T) (next T, notify bool)) T {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	next := change(*c.current.Load())
+	next, notify := change(*c.current.Load())
 	c.current.Store(&next)
-	close(c.changed)
-	c.changed = make(chan struct{})
+	if notify {
+		close(c.changed)
+		c.changed = make(chan struct{})
+	}
 	return next
 }
 
--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -116,7 +116,7 @@
 	f.fleet.Store(&members)
 }
 
-// Changed returns a channel that is closed at the next update of the view.
+// Changed returns a channel that is closed when the next object changes; a new revision alone does not close it.
 func (f *Feed) Changed() <-chan struct{} {
 	return f.view.Changed()
 }
@@ -139,9 +139,9 @@
 		return
 	}
 	changed := false
-	f.view.Update(func(v mirror.View) mirror.View {
+	f.view.UpdateNotify(func(v mirror.View) (mirror.View, bool) {
 		v, changed = v.WithPage(p)
-		return v
+		return v, changed
 	})
 	if changed {
 		f.changes.Inc()
--- a/entry/feed/feed_test.go
+++ b/entry/feed/feed_test.go
@@ -317,3 +317,45 @@
 		})
 	}
 }
+
+// TestChanged checks that a page wakes those who wait for a change only if an object differs. The store's revision also
+// grows with objects of other kinds, so that most pages carry nothing but a new revision.
+func TestChanged(t *testing.T) {
+	known := mirror.Object{Name: "a", Revision: 5}
+	cases := map[string]struct {
+		page     mirror.Page
+		want     bool
+		revision uint64
+	}{
+		"newer-revision-only": {mirror.Page{Revision: 9}, false, 9},
+		"same-list":           {mirror.Page{Revision: 9, Complete: true, Objects: []mirror.Object{known}}, false, 9},
+		"older-page":          {mirror.Page{Revision: 3, Objects: []mirror.Object{{Name: "a", Revision: 3}}}, false, 5},
+		"changed-object":      {mirror.Page{Revision: 9, Objects: []mirror.Object{{Name: "a", Revision: 9}}}, true, 9},
+		"deleted-object":      {mirror.Page{Revision: 9, Complete: true}, true, 9},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				time.Sleep(time.Millisecond)
+				s := &fakeStore{page: mirror.Page{Revision: 5, Objects: []mirror.Object{known}}, hang: true}
+				f := New(
+					Settings{Kind: "k", Pace: time.Hour}, s,
+					&log.Logger{Handler: discard.New()}, metrics.NewSet(),
+				)
+				defer f.Close()
+				time.Sleep(time.Second)
+				changed := f.Changed()
+				f.Take(test.page, "peer")
+				woken := false
+				select {
+				case <-changed:
+					woken = true
+				default:
+				}
+				c.Assert(woken, quicktest.Equals, test.want)
+				c.Assert(f.View().Revision(), quicktest.Equals, test.revision)
+			})
+		})
+	}
+}
