picker: a successor expires without a change of any declaration

Cause: the loop set its timer for successors only after a wake-up, and relied on pages that moved nothing but the revision to be woken. Change: the loop also waits for new successors. Ruled out: waking the loop from Adopt, which requests call. Test: TestSuccessorExpires, seen to fail without the change.

--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -145,10 +145,11 @@
 	return p
 }
 
-// loop reconciles the table at each change of the source, and periodically while entries are held that expire.
+// loop reconciles the table at each change of the source or of the successors, and periodically while entries are held
+// that expire.
 func (p *Picker) loop(ctx context.Context) {
 	for {
-		changed := p.source.Changed()
+		changed, found := p.source.Changed(), p.successors.Changed()
 		p.reconcile()
 		var expiryCheck <-chan time.Time
 		if p.targetTable.Load().targetSet.HasMissing() || p.successors.Load().Len() > 0 {
@@ -158,6 +159,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-found:
 		case <-expiryCheck:
 		}
 	}
@@ -172,9 +174,9 @@
 		grace = 0
 	}
 	targets := p.source.Targets()
-	p.successors.Update(func(s site.Successors) site.Successors {
+	p.successors.UpdateNotify(func(s site.Successors) (site.Successors, bool) {
 		targets, s = s.Apply(targets, time.Now(), settled)
-		return s
+		return s, false
 	})
 	var old, next *site.TargetSet
 	p.targetTable.Update(func(t targetTable) targetTable {
--- a/entry/picker/picker_test.go
+++ b/entry/picker/picker_test.go
@@ -346,3 +346,35 @@
 func reportOfSuccessor(name string, predecessor site.Target) wire.LoadReport {
 	return wire.LoadReport{Instance: "finder", Sequence: 1, Successors: []wire.Successor{{Name: name, Predecessor: predecessor.Name, PredecessorStartID: predecessor.StartID, PredecessorAddress: predecessor.Address}}}
 }
+
+// TestSuccessorExpires checks that a successor that the platform never lists stops getting requests although no
+// declaration changes: it may have ended since, and only a timer can tell.
+func TestSuccessorExpires(t *testing.T) {
+	a := site.Target{Name: "a", Service: "s", Address: "1", StartID: 7, Revision: 1}
+	cases := map[string]func(p *Picker){
+		"found-here":      func(p *Picker) { p.Adopt(a, "b") },
+		"found-by-a-peer": func(p *Picker) { p.Merge([]wire.LoadReport{reportOfSuccessor("b", a)}) },
+	}
+	for name, find := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				time.Sleep(time.Millisecond)
+				source := staticSource{changed: make(chan struct{}), targets: []site.Target{a}}
+				p := New(source, func(string) {}, &log.Logger{Handler: discard.New()}, metrics.NewSet())
+				defer p.Close()
+				p.Name("self", 1)
+				time.Sleep(time.Minute)
+				find(p)
+				time.Sleep(time.Second)
+				pick, ok := p.Stream(Want{Service: "s"})
+				c.Assert(ok, quicktest.IsTrue)
+				c.Assert(pick.Target.Name, quicktest.Equals, "b")
+				pick.Release()
+				time.Sleep(2 * time.Second)
+				_, ok = p.Stream(Want{Service: "s"})
+				c.Assert(ok, quicktest.IsFalse)
+			})
+		})
+	}
+}
--- a/entry/picker/successor.go
+++ b/entry/picker/successor.go
@@ -37,9 +37,9 @@
 		return false
 	}
 	isNew := false
-	p.successors.Update(func(s site.Successors) site.Successors {
+	p.successors.UpdateNotify(func(s site.Successors) (site.Successors, bool) {
 		s, isNew = s.WithSuccessor(successor)
-		return s
+		return s, isNew
 	})
 	if isNew {
 		p.log.WithFields(log.Fields{"target": successor.Name, "address": successor.Predecessor.Address, "old-target": successor.Predecessor.Name, "cause": cause}).Info("target is used before the platform lists it")
