link: heads, skipped responses and bodies of targets have bounds

Cause: a target that sends bytes without end in a head, in a response to another request or in no response at all was read until the caller's deadline; a 103 was returned as the final response. Change: a head has 64 KiB, a skipped response 256 KiB and 1 s, eight interim responses are skipped. A body that is read whole takes its memory from the request's account (core/quota) as it arrives, not as it is announced. Clients over net/http bound their headers too. Ruled out: a bound of bytes for a whole connection, which streams of minutes would meet; http.Transport, which hides stray responses.

--- a/entry/internal/engine/http.go
+++ b/entry/internal/engine/http.go
@@ -21,7 +21,8 @@
 const (
 	dialTimeout      = 400 * time.Millisecond
 	maxReportBytes   = 4 << 20
-	maxIdlePerTarget = 64 // maxIdlePerTarget bounds the idle connections to one target.
+	maxHeaderBytes   = 64 << 10 // maxHeaderBytes bounds the headers of one response.
+	maxIdlePerTarget = 64       // maxIdlePerTarget bounds the idle connections to one target.
 	keepAlivePeriod  = 5 * time.Second
 )
 
@@ -58,9 +59,9 @@
 	dial := (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}).DialContext
 	countedDial := meter.CountBytes(dial, set.GetOrCreateCounter("bramleywharf_target_report_bytes_total"))
 	return &HTTP{
-		pooledTransport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdlePerTarget, DisableCompression: true},
-		freshTransport:  &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
-		reportTransport: &http.Transport{DialContext: countedDial, MaxIdleConnsPerHost: maxIdlePerTarget, DisableCompression: true},
+		pooledTransport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdlePerTarget, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
+		freshTransport:  &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
+		reportTransport: &http.Transport{DialContext: countedDial, MaxIdleConnsPerHost: maxIdlePerTarget, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
 	}
 }
 
--- a/entry/link/conn.go
+++ b/entry/link/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,11 +15,65 @@
 // conn is one connection to a target.
 type conn struct {
 	net.Conn
-	reader       *bufio.Reader
-	bytesWritten int       // bytes of the current request that were handed to the network
-	idleSince    time.Time // when the connection became idle
-	expiresAt    time.Time // when the target may close the idle connection
-	wasPooled    bool      // whether the connection has been idle before
+	input        *boundedReader
+	reader       *bufio.Reader // reads from input
+	bytesWritten int           // bytes of the current request that were handed to the network
+	idleSince    time.Time     // when the connection became idle
+	expiresAt    time.Time     // when the target may close the idle connection
+	wasPooled    bool          // whether the connection has been idle before
+}
+
+// boundedReader reads from a connection up to a bound.
+type boundedReader struct {
+	io.Reader
+	left int64 // bytes that may still be read; negative sets no bound
+}
+
+// Read returns ErrOversized once the bound is reached.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.left < 0 {
+		return b.Reader.Read(p)
+	}
+	if b.left == 0 {
+		return 0, ErrOversized
+	}
+	n, err := b.Reader.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
+}
+
+func newConn(raw net.Conn) *conn {
+	input := &boundedReader{Reader: raw, left: -1}
+	return &conn{Conn: raw, input: input, reader: bufio.NewReaderSize(input, readBufferSize)}
+}
+
+// readHead reads the head of the next final response within maxHeadSize, and skips interim ones.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	defer func() { c.input.left = -1 }()
+	for range maxInterim {
+		c.input.left = maxHeadSize
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+	return nil, fmt.Errorf("%w: over %d interim responses", ErrOversized, maxInterim)
+}
+
+// skipBody reads and drops the body of a response to another request, within maxStraySize and straySkipTimeout.
+func (c *conn) skipBody(body io.Reader) error {
+	c.input.left = maxStraySize
+	defer func() { c.input.left = -1 }()
+	if err := c.SetReadDeadline(time.Now().Add(straySkipTimeout)); err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		return err
+	}
+	return c.SetReadDeadline(time.Time{})
 }
 
 // Write adds the bytes handed to the network to bytesWritten.
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -1,16 +1,15 @@
 package link
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
 	"syscall"
 	"time"
 
+	"bramleywharf.example/core/quota"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -29,6 +28,10 @@
 	keepAliveCount     = 2                      // unanswered keep-alive probes that end a connection
 	readBufferSize     = 4 << 10                // in bytes, for each connection
 	maxStrayResponses  = 3                      // most responses that are read to find the right one
+	maxInterim         = 8                      // most interim responses (1xx) that are read before the final one
+	maxHeadSize        = 64 << 10               // in bytes, for the head of one response
+	maxStraySize       = 256 << 10              // in bytes, for the body of a response that is skipped
+	straySkipTimeout   = time.Second            // bounds the time to skip the body of one response
 	maxBodySize        = 16 << 20               // in bytes, for a response that is read whole
 )
 
@@ -38,6 +41,8 @@
 	ErrBroken = errors.New("response is incomplete, malformed or too large")
 	// ErrStray means that the connection returned only responses to other requests.
 	ErrStray = errors.New("response belongs to another request")
+	// ErrOversized means that the head of a response, or one to another request, exceeds its bound in bytes.
+	ErrOversized = errors.New("response head or stray response is too large")
 )
 
 // NotSentError means that no byte of a request was sent to its target.
@@ -174,7 +179,7 @@
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
-	reply := &Reply{link: l, address: r.Address, maxIdle: r.Idle, conn: c, writeResult: make(chan error, 1)}
+	reply := &Reply{link: l, address: r.Address, maxIdle: r.Idle, conn: c, account: quota.FromContext(ctx), writeResult: make(chan error, 1)}
 	reply.detachContext = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := l.roundTrip(ctx, r, reply); err != nil {
 		reply.Close()
@@ -202,7 +207,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to target %s: %w", address, err)
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	return newConn(raw), nil
 }
 
 // roundTrip writes a request and reads the head of its response. It skips responses to other requests, and writes a
@@ -228,16 +233,13 @@
 		req = &http.Request{Method: r.Method}
 	}
 	for range maxStrayResponses {
-		response, err := http.ReadResponse(c.reader, req)
+		response, err := c.readHead(req)
 		if err != nil {
 			return fmt.Errorf("read response of target %s: %w", r.Address, contextErrOr(ctx, err))
 		}
-		if response.StatusCode == http.StatusContinue {
-			continue
-		}
 		if echo := response.Header.Get(l.settings.EchoHeader); echo != r.Echo && (echo != "" || c.wasPooled) {
 			l.strayResponses.Inc()
-			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			if err := c.skipBody(response.Body); err != nil {
 				return fmt.Errorf("skip stray response of target %s: %w", r.Address, contextErrOr(ctx, err))
 			}
 			continue
--- a/entry/link/reply.go
+++ b/entry/link/reply.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"bramleywharf.example/core/quota"
 )
 
 // Reply is a response whose head has been read.
@@ -14,8 +16,9 @@
 	maxIdle       int // bound on the idle connections to the target, or 0
 	conn          *conn
 	response      *http.Response
-	writeResult   chan error  // gets the result of writing the request
-	detachContext func() bool // keeps the context from closing the connection; false if it has done so
+	account       *quota.Account // account of the request, for a body that is read whole, or nil
+	writeResult   chan error     // gets the result of writing the request
+	detachContext func() bool    // keeps the context from closing the connection; false if it has done so
 	closed        bool
 }
 
@@ -68,16 +71,9 @@
 	return body, nil
 }
 
-// readBody reads the body into one buffer if its length is known and within maxBodySize. Otherwise it reads no more
-// than one byte over that bound.
+// readBody reads the body into one buffer, and no more than one byte over maxBodySize.
 func (r *Reply) readBody() ([]byte, error) {
-	length := r.response.ContentLength
-	if length < 0 || length > maxBodySize {
-		return io.ReadAll(io.LimitReader(r.response.Body, maxBodySize+1))
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r.response.Body, body)
-	return body, err
+	return quota.ReadAll(io.LimitReader(r.response.Body, maxBodySize+1), r.response.ContentLength, r.account)
 }
 
 // releaseConn keeps the connection for the next request, or closes it if it cannot be reused.
