inst: bodies in progress share a bound on memory, callers' bodies one on time

The auxiliary servers bound the wait for headers. The own front's completions are still read by the decoder, without a bound on time.

--- /dev/null
+++ b/entry/body/body.go
@@ -0,0 +1,36 @@
+package body
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"bramleywharf.example/core/quota"
+)
+
+// Read returns the whole body of a request. It takes the memory from the account in the request's context, if there is
+// one, and reads until a deadline, since a caller may send a byte now and then.
+//
+// The error is a *http.MaxBytesError for a body over limit bytes, and quota.ErrExhausted if the requests in progress
+// hold too much memory.
+func Read(w http.ResponseWriter, r *http.Request, limit int, deadline time.Time) ([]byte, error) {
+	if r.ContentLength > int64(limit) {
+		return nil, &http.MaxBytesError{Limit: int64(limit)}
+	}
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(deadline); err != nil {
+		return nil, fmt.Errorf("set read deadline of a body: %w", err)
+	}
+	content, err := quota.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)), r.ContentLength, quota.FromContext(r.Context()))
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	// From here on the connection is read only to notice that the caller has left, which has no deadline.
+	if err := controller.SetReadDeadline(time.Time{}); err != nil {
+		return nil, fmt.Errorf("reset read deadline: %w", err)
+	}
+	return content, nil
+}
--- /dev/null
+++ b/entry/body/doc.go
@@ -0,0 +1,2 @@
+// Package body reads the bodies of callers' requests for any front.
+package body
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -12,6 +12,7 @@
 
 	"bramleywharf.example/core/member"
 	"bramleywharf.example/core/peer"
+	"bramleywharf.example/core/quota"
 	"bramleywharf.example/core/retry"
 	"bramleywharf.example/core/wire"
 	"bramleywharf.example/entry/board"
@@ -38,6 +39,11 @@
 	memberListInterval = 10 * time.Second
 	// memoryLimitShare is the part of the machine's memory that is set as the runtime's soft limit.
 	memoryLimitShare = 0.6
+	// bodyMemoryShare is the part of the machine's memory that bodies of requests and responses may take together. The
+	// rest of the soft limit is for the state of the fleet and for streams, whose events are passed on one at a time.
+	bodyMemoryShare = 0.15
+	// auxHeaderTimeout bounds the wait for the headers of a request to the auxiliary servers.
+	auxHeaderTimeout = 2 * time.Second
 	// localRetryShare is the part of the fleet's bound on retries that instances use without knowledge of each other.
 	localRetryShare = 0.8
 )
@@ -102,6 +108,7 @@
 	fleet         atomic.Pointer[fleet.Fleet]
 	picker        *picker.Picker
 	link          *link.Link
+	bodies        *quota.Budget // bodies bounds the memory of the bodies that are held at a time.
 	callerServer  atomic.Pointer[http.Server]
 	ready         atomic.Bool
 	leaveOnce     sync.Once
@@ -126,6 +133,7 @@
 		log:       logger,
 		set:       set,
 		link:      link.New(link.Settings{EchoHeader: d.EchoHeader}, set),
+		bodies:    quota.New(int64(bodyMemoryShare * float64(s.MemoryMB) * (1 << 20))),
 		failed:    make(chan error, 1),
 		startDone: make(chan struct{}),
 		done:      make(chan struct{}),
@@ -133,6 +141,7 @@
 	if err := link.CheckUserTimeout(); err != nil {
 		logger.WithError(err).Warn("TCP user timeout cannot be set; only keep-alive probes detect dead connections")
 	}
+	set.NewGauge("bramleywharf_body_bytes", func() float64 { return float64(i.bodies.Used()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	if err := i.serveAux(s.Readiness, i.readinessHandler()); err != nil {
@@ -289,7 +298,7 @@
 	conns := newIdleConns(func() time.Duration { return i.board.Config().Limits.IdleTimeout })
 	i.addCloser(conns.Close)
 	callerServer := &http.Server{
-		Handler:           i.deps.Front(handler, i.board),
+		Handler:           boundMemory(i.bodies, i.deps.Front(handler, i.board)),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ConnState:         conns.trackState,
@@ -308,7 +317,7 @@
 
 // serveAux starts an auxiliary server, which runs until the instance has drained.
 func (i *Instance) serveAux(address string, handler http.Handler) error {
-	server := &http.Server{Handler: handler}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: auxHeaderTimeout}
 	i.mu.Lock()
 	i.auxServers = append(i.auxServers, server)
 	i.mu.Unlock()
@@ -357,6 +366,15 @@
 	return nil
 }
 
+// boundMemory gives each request an account of the budget, from which its bodies take their memory until it has ended.
+func boundMemory(budget *quota.Budget, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		account := budget.Open()
+		defer account.Close()
+		next.ServeHTTP(w, r.WithContext(quota.NewContext(r.Context(), account)))
+	})
+}
+
 // metricsHandler answers with all metrics in the Prometheus text format.
 func metricsHandler(set *metrics.Set) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -2,19 +2,22 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"bramleywharf.example/core/cursor"
 	"bramleywharf.example/core/deny"
+	"bramleywharf.example/entry/body"
 	"bramleywharf.example/entry/chain"
 )
 
 const (
 	maxCompletionBody = 16 << 20 // maxCompletionBody bounds the body of a completion request, in bytes.
 	maxServiceBody    = 1 << 20  // maxServiceBody bounds the body of a call of a plain service, in bytes.
+	// bodyTimeout bounds the time to read such a body; callers wait a few seconds at most for these calls.
+	bodyTimeout = 10 * time.Second
 )
 
 // Request headers of callers.
@@ -113,9 +116,9 @@
 
 // callService runs a call of a plain service.
 func (f *Front) callService(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxServiceBody))
+	content, err := body.Read(w, r, maxServiceBody, time.Now().Add(bodyTimeout))
 	if err != nil {
-		writeRefusal(w, deny.New(deny.KindTooLarge, "body is cut or over %d bytes", maxServiceBody))
+		writeRefusal(w, deny.New(deny.KindTooLarge, "body is cut, too slow or over %d bytes", maxServiceBody))
 		return
 	}
 	path := "/" + r.PathValue("path")
@@ -128,7 +131,7 @@
 		Path:          path,
 		Key:           r.Header.Get(headerIdempotencyKey),
 		ContentType:   r.Header.Get("Content-Type"),
-		Body:          body,
+		Body:          content,
 		NonIdempotent: r.Header.Get(headerNonIdempotent) == "true",
 	}))
 }
