flight: comments and blank lines are no events

Cause: a target that had stalled but sent a comment or a blank line now and then was never given up: each counted as an event and as progress. Change: the reader returns them together with the event that follows, within the bound of an event, so that only events with a field count. Ruled out: dropping them, since bytes are passed on unchanged.

--- a/entry/flight/event.go
+++ b/entry/flight/event.go
@@ -34,28 +34,32 @@
 }
 
 // next returns the next whole event, io.EOF at the end of the stream, or io.ErrUnexpectedEOF if it ends within an
-// event.
+// event. Blank lines and comments before an event are part of its bytes but not events of their own: a stalled target
+// may send them forever.
 func (e *eventReader) next() (event, error) {
 	ev := event{raw: e.raw[:0]}
 	defer func() { e.raw = ev.raw }()
+	hasFields, lineStart := false, 0
 	for {
-		line, err := e.r.ReadSlice('\n')
-		ev.raw = append(ev.raw, line...)
+		part, err := e.r.ReadSlice('\n')
+		ev.raw = append(ev.raw, part...)
+		line := bytes.TrimRight(ev.raw[lineStart:], "\r\n")
 		switch {
 		case err == bufio.ErrBufferFull && len(ev.raw) <= maxEventSize:
 			continue
-		case err == io.EOF && len(bytes.TrimSpace(ev.raw)) > 0:
+		case err == io.EOF && (hasFields || len(bytes.TrimSpace(line)) > 0):
 			return event{}, io.ErrUnexpectedEOF
-		case err != nil:
+		case err != nil && err != bufio.ErrBufferFull:
 			return event{}, err
 		case len(ev.raw) > maxEventSize:
 			return event{}, errEventTooLarge
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if len(trimmed) == 0 {
+		lineStart = len(ev.raw)
+		if len(line) == 0 && hasFields {
 			return ev, nil
 		}
-		if value, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
+		hasFields = hasFields || len(line) > 0 && line[0] != ':'
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(value))
 		}
 	}
--- a/entry/flight/event_test.go
+++ b/entry/flight/event_test.go
@@ -17,16 +17,22 @@
 		ids    []string // their ids
 		err    error    // returned after the last of them
 	}{
-		"empty":              {stream: "", err: io.EOF},
-		"two-events":         {stream: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", events: []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, ids: []string{"1", "2"}, err: io.EOF},
-		"carriage-returns":   {stream: "id: 1\r\ndata: a\r\n\r\n", events: []string{"id: 1\r\ndata: a\r\n\r\n"}, ids: []string{"1"}, err: io.EOF},
-		"many-data-lines":    {stream: "data: a\ndata: b\nid:7\n\n", events: []string{"data: a\ndata: b\nid:7\n\n"}, ids: []string{"7"}, err: io.EOF},
-		"without-id":         {stream: "data: a\n\n", events: []string{"data: a\n\n"}, ids: []string{""}, err: io.EOF},
-		"ends-within-a-line": {stream: "id: 1\ndata: a\n\nid: 2\nda", events: []string{"id: 1\ndata: a\n\n"}, ids: []string{"1"}, err: io.ErrUnexpectedEOF},
-		"ends-after-a-line":  {stream: "id: 1\ndata: a\n\nid: 2\n", events: []string{"id: 1\ndata: a\n\n"}, ids: []string{"1"}, err: io.ErrUnexpectedEOF},
-		"larger-than-buffer": {stream: long + "id: 2\n\n", events: []string{long, "id: 2\n\n"}, ids: []string{"1", "2"}, err: io.EOF},
-		"too-large":          {stream: "data: " + strings.Repeat("x", maxEventSize) + "\n\n", err: errEventTooLarge},
-		"too-many-lines":     {stream: strings.Repeat("data: x\n", maxEventSize/8+1) + "\n", err: errEventTooLarge},
+		"empty":               {stream: "", err: io.EOF},
+		"two-events":          {stream: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", events: []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, ids: []string{"1", "2"}, err: io.EOF},
+		"carriage-returns":    {stream: "id: 1\r\ndata: a\r\n\r\n", events: []string{"id: 1\r\ndata: a\r\n\r\n"}, ids: []string{"1"}, err: io.EOF},
+		"many-data-lines":     {stream: "data: a\ndata: b\nid:7\n\n", events: []string{"data: a\ndata: b\nid:7\n\n"}, ids: []string{"7"}, err: io.EOF},
+		"without-id":          {stream: "data: a\n\n", events: []string{"data: a\n\n"}, ids: []string{""}, err: io.EOF},
+		"ends-within-a-line":  {stream: "id: 1\ndata: a\n\nid: 2\nda", events: []string{"id: 1\ndata: a\n\n"}, ids: []string{"1"}, err: io.ErrUnexpectedEOF},
+		"ends-after-a-line":   {stream: "id: 1\ndata: a\n\nid: 2\n", events: []string{"id: 1\ndata: a\n\n"}, ids: []string{"1"}, err: io.ErrUnexpectedEOF},
+		"larger-than-buffer":  {stream: long + "id: 2\n\n", events: []string{long, "id: 2\n\n"}, ids: []string{"1", "2"}, err: io.EOF},
+		"too-large":           {stream: "data: " + strings.Repeat("x", maxEventSize) + "\n\n", err: errEventTooLarge},
+		"comments":            {stream: ": a\n\nid: 1\n: b\ndata: a\n\n\n\n:c\n\nid: 2\n\n: d\n\n", events: []string{": a\n\nid: 1\n: b\ndata: a\n\n", "\n\n:c\n\nid: 2\n\n"}, ids: []string{"1", "2"}, err: io.EOF},
+		"comments-only":       {stream: ": a\n\n\n: b\n", err: io.EOF},
+		"ends-within-id":      {stream: ": a\n\nid: 1", err: io.ErrUnexpectedEOF},
+		"long-line-of-an-id":  {stream: "data: " + strings.Repeat("x", eventBufferSize-6) + "id:9\nid: 1\n\n", events: []string{"data: " + strings.Repeat("x", eventBufferSize-6) + "id:9\nid: 1\n\n"}, ids: []string{"1"}, err: io.EOF},
+		"endless-blank-lines": {stream: strings.Repeat("\n", maxEventSize+1), err: errEventTooLarge},
+		"endless-comments":    {stream: strings.Repeat(": x\n\n", maxEventSize/5+1), err: errEventTooLarge},
+		"too-many-lines":      {stream: strings.Repeat("data: x\n", maxEventSize/8+1) + "\n", err: errEventTooLarge},
 	}
 	readers := map[string]func(io.Reader) io.Reader{"whole": func(r io.Reader) io.Reader { return r }, "byte-by-byte": iotest.OneByteReader}
 	for name, test := range cases {
