feed: the first list of a start may be stale

They confirm nothing: a watch of an elected instance does, and reaches the others by pulls. Later lists stay exact. TestOutage found that an instance whose store went away before the first watch took missing entries as gone at its return; mended in Confirm.

--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -55,6 +55,8 @@
 type Source interface {
 	// List returns all objects.
 	List(ctx context.Context) (mirror.Page, error)
+	// ListStale returns all objects as of some seconds ago at most; it is billed at a fraction of List.
+	ListStale(ctx context.Context) (mirror.Page, error)
 	// Watch returns the changes after a revision; it waits for the first one for at most the given time.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Page, error)
 }
@@ -170,7 +172,7 @@
 		if !f.confirmedAt.CompareAndSwap(previous, int64(asOf)) {
 			continue
 		}
-		if gap := now - time.Duration(previous); gap > unreachableAge && previous > 0 {
+		if gap := now - time.Duration(previous); gap > unreachableAge && f.View().Revision() > 0 {
 			f.recoveredAt.Store(int64(now))
 			f.log.WithFields(log.Fields{"revision": f.View().Revision(), "gap-ms": gap.Milliseconds()}).
 				Info("objects are current again")
@@ -251,6 +253,8 @@
 	feed          *Feed
 	revision      uint64 // revision is where the next watch starts.
 	listed        bool   // listed is true once revision is known.
+	staleListed   bool   // staleListed is true once a stale list was asked for; only the first list may be one.
+	confirming    bool   // confirming is true while the last call shows what the store holds now.
 	wasIdle       bool   // wasIdle is true after other instances queried the store for this one.
 	failing       bool   // failing is true while calls fail, so that each series of failures logs one line.
 	backoff       time.Duration
@@ -283,14 +287,21 @@
 	wait.Sleep(ctx, f.settings.Pace-time.Since(start))
 }
 
-// listOrWatch makes one call; a failed watch is followed by a list, since the store leaves a watch without an answer
+// listOrWatch makes one call. The first list may be stale, since a watch of this or another instance confirms it; that
+// is what a start of the whole fleet costs most. A failed watch is followed by a list, since the store leaves a watch without an answer
 // when the history is gone.
 func (w *watcher) listOrWatch(ctx context.Context) (mirror.Page, error) {
 	if !w.listed {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
+		if !w.staleListed {
+			w.staleListed, w.confirming = true, false
+			return w.feed.store.ListStale(ctx)
+		}
+		w.confirming = true
 		return w.feed.store.List(ctx)
 	}
+	w.confirming = true
 	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
 	page, err := w.feed.store.Watch(ctx, w.revision, watchWait)
@@ -321,7 +332,7 @@
 }
 
 // recordSuccess merges the page of a call that began at start. A watch confirms the view as of its answer, a list
-// only as of its start.
+// only as of its start, and a stale list not at all.
 func (w *watcher) recordSuccess(p mirror.Page, start time.Time) {
 	f := w.feed
 	if w.failing {
@@ -335,6 +346,8 @@
 	}
 	w.listed = true
 	w.revision = max(w.revision, p.Revision)
-	f.Confirm(time.Since(asOf))
+	if w.confirming {
+		f.Confirm(time.Since(asOf))
+	}
 	f.Take(p, "store")
 }
--- a/entry/feed/feed_test.go
+++ b/entry/feed/feed_test.go
@@ -25,6 +25,8 @@
 	err   error
 	hang  bool // hang leaves watches without a response.
 	calls int
+
+	staleLists int
 }
 
 // List returns the whole page; dropped history does not affect it.
@@ -40,6 +42,12 @@
 	return page, s.err
 }
 
+// ListStale returns the same as List.
+func (s *fakeStore) ListStale(ctx context.Context) (mirror.Page, error) {
+	s.update(func(s *fakeStore) { s.staleLists++ })
+	return s.List(ctx)
+}
+
 // Watch returns the page once it is newer than after, or an empty one after the wait.
 func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Page, error) {
 	s.mu.Lock()
@@ -179,6 +187,34 @@
 	})
 }
 
+// TestStaleList checks that a stale list is used but confirms nothing, that it is the only one, and that entries which
+// are missing when the store is back are not taken as gone at once.
+func TestStaleList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		time.Sleep(time.Millisecond)
+		s := &fakeStore{page: mirror.Page{Revision: 5}}
+		f := New(
+			Settings{Kind: "k", Pace: 100 * time.Millisecond}, s,
+			&log.Logger{Handler: discard.New()}, metrics.NewSet(),
+		)
+		defer f.Close()
+		time.Sleep(50 * time.Millisecond)
+		c.Assert(f.View().Revision(), quicktest.Equals, uint64(5))
+		c.Assert(f.Age() >= 50*time.Millisecond, quicktest.IsTrue)
+		s.update(func(s *fakeStore) { s.err = errUnreachable })
+		time.Sleep(4 * time.Second)
+		c.Assert(f.Settled(), quicktest.IsFalse)
+		s.update(func(s *fakeStore) { s.err = nil })
+		time.Sleep(time.Second)
+		c.Assert(f.Age() < time.Second, quicktest.IsTrue)
+		c.Assert(f.Settled(), quicktest.IsFalse)
+		time.Sleep(settleTime)
+		c.Assert(f.Settled(), quicktest.IsTrue)
+		c.Assert(s.staleLists, quicktest.Equals, 1)
+	})
+}
+
 // rank is a fleet of a size in which the instance has a fixed rank.
 type rank struct {
 	rank, size int
