fleet: instances that start together fetch members from each other

Cause: a heartbeat carries few updates, and after a start of 295 instances each of them had 295 to send 30 times. In virtual time an instance had heard of 229 of 295 after 14 s (of 32 after 1 s); unheard members are given to no caller and take no duty. The same updates made up 18 of 24 KB/s of control, for a minute. Change: while listed members are unheard, an instance fetches all members from a near one each 200 ms (4 s when nothing comes of it) and spreads none of them. Ruled out: incarnations from the platform's list, which still holds those that have died; fewer sends of each update alone, since the start stays slow.

--- a/core/member/view.go
+++ b/core/member/view.go
@@ -52,6 +52,16 @@
 	return slices.SortedFunc(maps.Values(v.members), func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 }
 
+// AtAddress returns the member at a peer address.
+func (v View) AtAddress(peerAddress string) (Member, bool) {
+	for _, m := range v.members {
+		if m.PeerAddress == peerAddress {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
 // Available returns the members that new callers may be sent to.
 func (v View) Available() []route.Place {
 	var available []route.Place
@@ -174,6 +184,17 @@
 	return neighbours
 }
 
+// UnheardCount returns the number of members that are listed but have sent no update that reached this view.
+func (v View) UnheardCount() int {
+	count := 0
+	for _, m := range v.members {
+		if m.State != Dead && m.Incarnation == 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // WithMember returns a view with an update merged in, and whether that changed it.
 func (v View) WithMember(update Member) (View, bool) {
 	current, known := v.members[update.Name]
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -22,9 +22,12 @@
 	probeTimeout        = 400 * time.Millisecond // probeTimeout limits any exchange of heartbeats.
 	indirectProbes      = 2                      // indirectProbes is the number of members asked to probe a silent one.
 	suspectTimeout      = 2 * time.Second        // suspectTimeout is how long a suspect may refute before it is dead.
+	syncInterval        = 200 * time.Millisecond // syncInterval is the time between two syncs while they find updates.
+	maxSyncInterval     = 4 * time.Second        // maxSyncInterval bounds that time when they find none.
 	deadRetention       = 10 * time.Minute       // deadRetention is how long a dead member is remembered.
 	defaultListInterval = 2 * time.Second        // defaultListInterval is the time between two reads of the list.
 	reconnectInterval   = 2 * time.Second        // reconnectInterval is the time between two tries of dead members.
+	pushInterval        = 200 * time.Millisecond // pushInterval is the least time between two pushes.
 	pushFanout          = 4                      // pushFanout is the number of members that get an update at once.
 )
 
@@ -106,7 +109,7 @@
 		}
 		return f.newHeartbeat(false, gossip.From.PeerAddress)
 	}
-	f.mergeHeartbeat(gossip)
+	f.mergeHeartbeat(gossip, true)
 	return f.newHeartbeat(gossip.WantAllMembers, gossip.From.PeerAddress)
 }
 
@@ -141,8 +144,29 @@
 }
 
 // exchange sends a heartbeat to an address and merges the answer; of the given gossip, ProbeAddress and WantAllMembers
-// are sent.
+// are sent. It spreads what the answer changes here.
 func (f *Fleet) exchange(ctx context.Context, address string, gossip wire.Gossip) (wire.Gossip, error) {
+	received, err := f.call(ctx, address, gossip)
+	if err != nil {
+		return wire.Gossip{}, err
+	}
+	f.mergeHeartbeat(received, true)
+	return received, nil
+}
+
+// fetchMembers merges all members that the one at an address knows. It spreads none of them: whoever told that one
+// spreads them, and all instances that start together fetch members.
+func (f *Fleet) fetchMembers(ctx context.Context, address string) error {
+	received, err := f.call(ctx, address, wire.Gossip{WantAllMembers: true})
+	if err != nil {
+		return err
+	}
+	f.mergeHeartbeat(received, false)
+	return nil
+}
+
+// call sends a heartbeat to an address and returns the answer.
+func (f *Fleet) call(ctx context.Context, address string, gossip wire.Gossip) (wire.Gossip, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	probeAddress, wantAllMembers := gossip.ProbeAddress, gossip.WantAllMembers
@@ -156,17 +180,23 @@
 	if !ok {
 		return wire.Gossip{}, peer.ErrRefused
 	}
-	f.mergeHeartbeat(received)
 	return received, nil
 }
 
 // apply merges the state of a member into the view and, if that changes the view, spreads it as an update.
 func (f *Fleet) apply(m member.Member) {
+	if current, changed := f.merge(m); changed {
+		f.updateQueue.add(current, f.view.Load().Len())
+	}
+}
+
+// merge merges the state of a member into the view; it returns the new state and whether that changed the view.
+func (f *Fleet) merge(m member.Member) (member.Member, bool) {
 	if m.Name == f.settings.Self.Name {
 		m = f.refute(m)
 	}
 	if _, changed := f.View().WithMember(m); !changed {
-		return // Nearly every heartbeat repeats what is known; it must not replace the view.
+		return member.Member{}, false // Nearly every heartbeat repeats what is known; it must not replace the view.
 	}
 	changed := false
 	var current member.Member
@@ -175,11 +205,10 @@
 		current, _ = v.Get(m.Name)
 		return v
 	})
-	if !changed {
-		return
+	if changed {
+		f.recordState(current)
 	}
-	f.updateQueue.add(current, f.view.Load().Len())
-	f.recordState(current)
+	return current, changed
 }
 
 // newHeartbeat returns a heartbeat to the member at an address; full makes it carry all live members and not only
@@ -201,14 +230,20 @@
 	return gossip
 }
 
-// mergeHeartbeat applies the members and the configuration revision that a heartbeat reports.
-func (f *Fleet) mergeHeartbeat(gossip wire.Gossip) {
+// mergeHeartbeat applies the members and the configuration revision that a heartbeat reports; spread passes changed
+// members on.
+func (f *Fleet) mergeHeartbeat(gossip wire.Gossip, spread bool) {
 	if gossip.From.Name == "" {
 		return
 	}
 	f.apply(gossip.From)
 	for _, m := range gossip.Members {
-		f.apply(m)
+		f.updateQueue.markRepeated(m)
+		if spread {
+			f.apply(m)
+		} else {
+			f.merge(m)
+		}
 	}
 	f.freshness.Heard(gossip.From.PeerAddress, gossip.Revision, gossip.ConfigAge)
 }
--- a/entry/fleet/fleet_test.go
+++ b/entry/fleet/fleet_test.go
@@ -14,6 +14,7 @@
 	"bramleywharf.example/core/wire"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/apex/log/handlers/memory"
 	"github.com/frankban/quicktest"
 	"github.com/pkg/errors"
@@ -215,3 +216,26 @@
 		})
 	}
 }
+
+// TestStartTogether checks that instances that start at once hear of each other within rejoinBound, also when each of
+// them knows the others from the platform's list alone.
+func TestStartTogether(t *testing.T) {
+	for name, size := range map[string]int{"small": 7, "large": 200} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				time.Sleep(time.Millisecond)
+				n := &network{fleets: make(map[string]*Fleet)}
+				for i := range size {
+					n.start(t, fmt.Sprint("i-", i), discard.New())
+				}
+				time.Sleep(rejoinBound)
+				for name, f := range n.fleets {
+					view := f.View()
+					if unheard := view.UnheardCount(); unheard > 0 || view.Len() != size {
+						t.Errorf("%s knows %d members and has not heard of %d of them", name, view.Len(), unheard)
+					}
+				}
+			})
+		})
+	}
+}
--- a/entry/fleet/loop.go
+++ b/entry/fleet/loop.go
@@ -47,12 +47,32 @@
 	defer list.Stop()
 	reconnect := time.NewTicker(reconnectInterval)
 	defer reconnect.Stop()
+	unheard, syncGap := 0, syncInterval
+	nextSync := time.After(syncGap)
+	var nextPush <-chan time.Time // nextPush is nil unless a push is due.
+	var lastPush time.Time
 	var group sync.WaitGroup
 	defer group.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-nextSync:
+			syncGap = min(2*syncGap, maxSyncInterval)
+			if count := f.View().UnheardCount(); count != unheard {
+				unheard, syncGap = count, syncInterval
+			}
+			if unheard > 0 {
+				group.Go(func() { f.sync(ctx) })
+			}
+			nextSync = time.After(syncGap)
+		case <-f.pushRequested:
+			if nextPush == nil {
+				nextPush = time.After(pushInterval - time.Since(lastPush))
+			}
+		case <-nextPush:
+			nextPush, lastPush = nil, time.Now()
+			group.Go(func() { f.push(ctx) })
 		case <-probe.C:
 			f.expireMembers()
 			group.Go(func() { f.probeNext(ctx) })
@@ -60,8 +80,6 @@
 			group.Go(func() { f.readListIfElected(ctx) })
 		case <-reconnect.C:
 			group.Go(func() { f.reconnect(ctx) })
-		case <-f.pushRequested:
-			group.Go(func() { f.push(ctx) })
 		}
 	}
 }
@@ -103,7 +121,7 @@
 		if address == f.settings.Self.PeerAddress {
 			continue
 		}
-		if _, err := f.exchange(ctx, address, wire.Gossip{WantAllMembers: true}); err == nil {
+		if f.fetchMembers(ctx, address) == nil {
 			break
 		}
 	}
@@ -186,13 +204,37 @@
 // push sends heartbeats to a few random members at once.
 func (f *Fleet) push(ctx context.Context) {
 	var group sync.WaitGroup
-	for _, m := range f.randomLive(pushFanout, "") {
+	for _, m := range f.pushTargets() {
 		// A failure is ignored here, since only probes decide on a member's state.
 		group.Go(func() { _, _ = f.exchange(ctx, m.PeerAddress, wire.Gossip{}) })
 	}
 	group.Wait()
 }
 
+// sync fetches all members from one of the members to which a push would go. Instances that start together sync until
+// they have heard of all that are listed: each sync about doubles what they know, while heartbeats carry few updates.
+func (f *Fleet) sync(ctx context.Context) {
+	if targets := f.pushTargets(); len(targets) > 0 {
+		// A failure is ignored here; the next sync asks another member.
+		_ = f.fetchMembers(ctx, targets[rand.IntN(len(targets))].PeerAddress)
+	}
+}
+
+// pushTargets returns the members that a push goes to: random ones of the own failure domain and one of another, since
+// traffic between domains is billed, or whichever there are.
+func (f *Fleet) pushTargets() []member.Member {
+	var near, far []member.Member
+	for _, m := range f.randomLive(f.View().Len(), "") {
+		if m.Domain == f.settings.Self.Domain {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	near = near[:min(len(near), pushFanout-min(1, len(far)))]
+	return append(near, far[:min(len(far), pushFanout-len(near))]...)
+}
+
 // readListIfElected reads the platform's list if this instance is one of its readers, as it is if it knows no other.
 func (f *Fleet) readListIfElected(ctx context.Context) {
 	if f.Elected("list", listReaders) {
