fleet: a refutation spreads also when it comes from a fetch of members

Cause: found on reading the diff: fetchMembers spreads nothing, and so not the new incarnation of an instance that learns there that it is held dead. Change: what is said of the instance itself always spreads. Conclusion: kept; heartbeats carry the incarnation too, so it was late, not lost.

--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -240,7 +240,7 @@
 	f.apply(gossip.From)
 	for _, m := range gossip.Members {
 		f.updateQueue.markRepeated(m)
-		if spread {
+		if spread || m.Name == f.settings.Self.Name { // Only this instance can refute what is said of it.
 			f.apply(m)
 		} else {
 			f.merge(m)
