flight: targets are asked for their load where load reports are old

Among 295 instances load reports are 4.25 s old; a prompt is read in a second. Change: where reports are a second old or more, an instance asks the two targets that it would choose how many prompts they have to read, and takes the one with fewer (route.LeastBacklog). A target that takes no connection is not taken. One that has read the session's prompt is taken unasked; small fleets ask nobody. Ruled out: reports to all more often, which cost bytes by instances squared; more than two targets, which would draw many instances to the same idle ones.

--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -143,7 +143,7 @@
 	}
 	deadline := time.Now().Add(timeout)
 	for {
-		pick, ok := s.sender.Picker.Stream(s.want())
+		pick, ok := s.pickTarget(ctx)
 		if ok {
 			return pick, send.Source{}, true
 		}
--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -89,23 +89,58 @@
 // Stream chooses the target with the lowest cost for a stream. The cost is the load from all instances; the first few
 // targets in the order of the session are preferred, and most of all the one that has already read its prompt.
 func (p *Picker) Stream(want Want) (*Pick, bool) {
-	p.refreshSums()
-	t := p.targetTable.Load()
-	candidates := candidatesFor(t, want)
-	if len(candidates) == 0 {
+	best := p.cheapest(want, 1)
+	if len(best) == 0 {
+		return nil, false
+	}
+	return p.reserveStream(best[0].target, want), true
+}
+
+// Best returns up to count targets for a stream, the one that Stream would choose first, without counting the stream on
+// any. It returns that one alone if it has already read the session's prompt.
+func (p *Picker) Best(want Want, count int) []site.Target {
+	var targets []site.Target
+	for _, c := range p.cheapest(want, count) {
+		targets = append(targets, *c.target.Target)
+	}
+	if len(targets) > 0 && targets[0].Name == p.lastTarget(want.Session) {
+		return targets[:1]
+	}
+	return targets
+}
+
+// StreamAt chooses a given target for a stream, unless it was removed, restarted or started to drain.
+func (p *Picker) StreamAt(target site.Target, want Want) (*Pick, bool) {
+	current, ok := p.currentEntry(target)
+	if !ok {
 		return nil, false
 	}
+	return p.reserveStream(current, want), true
+}
+
+// cheapest returns up to count targets for a stream, the cheapest first.
+func (p *Picker) cheapest(want Want, count int) []candidate {
+	p.refreshSums()
+	candidates := candidatesFor(p.targetTable.Load(), want)
 	order := newSessionOrder(want.Session, candidates)
 	previous := p.lastTarget(want.Session)
-	best := candidate{}
+	var best []candidate
 	for i, target := range candidates {
 		cost := target.state.cost() + order.rankCost(i)
 		if target.Name == previous {
 			cost -= cachedPromptGain
 		}
-		best = best.orCheaper(target, cost, order.scores[i])
+		next := candidate{target: target, cost: cost, score: order.scores[i]}
+		for j := range best {
+			if next.precedes(best[j]) {
+				best[j], next = next, best[j]
+			}
+		}
+		if len(best) < count {
+			best = append(best, next)
+		}
 	}
-	return p.reserveStream(best.target, want), true
+	return best
 }
 
 // Backup chooses the target that keeps a replica of a stream's prompt memory, from which the stream can be resumed: the
@@ -151,13 +186,19 @@
 
 // soundEntry returns the current entry of a target, and false unless IsSound holds for it.
 func (p *Picker) soundEntry(target site.Target) (entry, bool) {
+	current, ok := p.currentEntry(target)
+	return current, ok && !current.state.healthStatus.Load().IsSuspect(time.Now())
+}
+
+// currentEntry returns the current entry of a target, and false if it was removed, restarted or has started to drain.
+func (p *Picker) currentEntry(target site.Target) (entry, bool) {
 	t := p.targetTable.Load()
 	i, ok := t.targetSet.Index(target.Name)
 	if !ok {
 		return entry{}, false
 	}
 	current := entry{Target: &t.targetSet.All()[i], state: t.states[i]}
-	return current, !current.Leaving && current.IsSameStart(target) && !current.state.healthStatus.Load().IsSuspect(time.Now())
+	return current, !current.Leaving && current.IsSameStart(target)
 }
 
 // reserveStream counts a stream on a target and records the target as that of the session.
@@ -279,15 +320,26 @@
 	score  uint64
 }
 
-// orCheaper returns the given target if it costs less than c, or as much and precedes it in the order of the session;
-// otherwise c.
+// orCheaper returns the given target if it precedes c, otherwise c.
 func (c candidate) orCheaper(target entry, cost float64, score uint64) candidate {
+	if next := (candidate{target: target, cost: cost, score: score}); next.precedes(c) {
+		return next
+	}
+	return c
+}
+
+// precedes reports whether c costs less than other, or as much and comes first in the order of the session.
+func (c candidate) precedes(other candidate) bool {
 	switch {
-	case c.target.Target == nil, cost < c.cost:
-	case cost > c.cost, score < c.score, score == c.score && target.Name > c.target.Name:
-		return c
+	case other.target.Target == nil:
+		return true
+	case c.cost != other.cost:
+		return c.cost < other.cost
+	case c.score != other.score:
+		return c.score > other.score
+	default:
+		return c.target.Name <= other.target.Name
 	}
-	return candidate{target: target, cost: cost, score: score}
 }
 
 // sessionOrder is the order of targets for a session by rendezvous hashing, which is the same on every instance;
--- a/entry/picker/loads.go
+++ b/entry/picker/loads.go
@@ -26,9 +26,15 @@
 
 // Expect sets the interval at which instances send load reports, which determines the age at which reports expire.
 func (p *Picker) Expect(interval time.Duration) {
+	p.reportInterval.Store(int64(interval))
 	p.reportTTL.Store(int64(max(minReportTTL, time.Duration(reportTTLIntervals*float64(interval)))))
 }
 
+// LoadAge returns how old the load that other instances report gets before the next report.
+func (p *Picker) LoadAge() time.Duration {
+	return time.Duration(p.reportInterval.Load())
+}
+
 // isExpired reports whether a load report is too old to count.
 func (p *Picker) isExpired(report receivedReport, now time.Time) bool {
 	return now.Sub(report.received) > time.Duration(p.reportTTL.Load())
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -101,19 +101,20 @@
 // Picker tracks the targets and chooses among them.
 type Picker struct {
 	*wait.Loop
-	source       Source
-	onRemoved    func(address string) // onRemoved is called for each target that was removed, restarted or moved.
-	log          log.Interface
-	targetTable  *cell.Cell[targetTable]
-	startedAt    time.Time
-	targetsLost  *metrics.Counter
-	domainLostAt sync.Map                            // domainLostAt maps failure domains to the time.Time of a loss.
-	localUsage   atomic.Pointer[func() []wire.Usage] // localUsage returns the counts of this instance's requests.
-	successors   *cell.Cell[site.Successors]         // successors holds targets found before they were listed.
-	ended        sync.Map                            // ended maps the names of ended targets to a time.Time.
-	sumsStale    atomic.Bool                         // sumsStale tells that sumReports must run before the next use.
-	reportTTL    atomic.Int64                        // reportTTL is the age at which reports expire, in nanoseconds.
-	reconcileMu  sync.Mutex
+	source         Source
+	onRemoved      func(address string) // onRemoved is called for each target that was removed, restarted or moved.
+	log            log.Interface
+	targetTable    *cell.Cell[targetTable]
+	startedAt      time.Time
+	targetsLost    *metrics.Counter
+	domainLostAt   sync.Map                            // domainLostAt maps failure domains to the time.Time of a loss.
+	localUsage     atomic.Pointer[func() []wire.Usage] // localUsage returns the counts of this instance's requests.
+	successors     *cell.Cell[site.Successors]         // successors holds targets found before they were listed.
+	ended          sync.Map                            // ended maps the names of ended targets to a time.Time.
+	sumsStale      atomic.Bool                         // sumsStale tells that sumReports must run before the next use.
+	reportInterval atomic.Int64                        // reportInterval is the time between two load reports of an instance, in nanoseconds.
+	reportTTL      atomic.Int64                        // reportTTL is the age at which reports expire, in nanoseconds.
+	reconcileMu    sync.Mutex
 
 	mu               sync.Mutex
 	instance         string                    // instance is the name under which this instance reports its load.
--- a/entry/picker/picker_test.go
+++ b/entry/picker/picker_test.go
@@ -378,3 +378,40 @@
 		})
 	}
 }
+
+// TestBest checks which targets are offered for a stream, and that offering counts nothing.
+func TestBest(t *testing.T) {
+	cases := map[string]struct {
+		prepare func(p *Picker)
+		count   int
+		want    []string
+	}{
+		"least-loaded-first":      {func(p *Picker) { p.Merge([]wire.LoadReport{reportOfStreams(1, map[string]int{"a": 9, "b": 4})}) }, 2, []string{"c", "b"}},
+		"fewer-than-asked-for":    {func(p *Picker) { p.Merge([]wire.LoadReport{reportOfStreams(1, map[string]int{"a": 9, "b": 4})}) }, 5, []string{"c", "b", "a"}},
+		"prompt-was-read-already": {func(p *Picker) { p.addStream("x", "a") }, 2, []string{"a"}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				time.Sleep(time.Millisecond)
+				p := newPicker(t)
+				test.prepare(p)
+				want := Want{Service: "s", Session: "x"}
+				var names []string
+				for _, target := range p.Best(want, test.count) {
+					names = append(names, target.Name)
+				}
+				c.Assert(names, quicktest.DeepEquals, test.want)
+				for _, s := range p.targetTable.Load().states {
+					c.Assert(s.inFlight.Load(), quicktest.Equals, int64(0))
+				}
+				pick, ok := p.StreamAt(site.Target{Name: "b", Service: "s", Address: "2"}, want)
+				c.Assert(ok, quicktest.IsTrue)
+				c.Assert(pick.Target.Name, quicktest.Equals, "b")
+				_, ok = p.StreamAt(site.Target{Name: "b", Service: "s", Address: "9"}, want)
+				c.Assert(ok, quicktest.IsFalse)
+			})
+		})
+	}
+}
