route: the order of targets for a session moves out of the picker

Change: sessionOrder is route.Order, with its rank apart from the picker's cost. Behaviour is the same; TestOrder checks the rank in place of the cost.

--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -37,9 +36,6 @@
 	// replicaMemoryShare is the part of a target's memory up to which it takes replicas.
 	replicaMemoryShare = 0.75
 
-	// rankedTargets is the number of targets among which the streams of a session are spread, in the session's order.
-	rankedTargets = 4
-
 	// sameDomainCost puts the targets of the excluded failure domain behind all others.
 	sameDomainCost = 1000
 )
@@ -126,11 +122,11 @@
 	previous := p.lastTarget(want.Session)
 	var best []candidate
 	for i, target := range candidates {
-		cost := target.state.cost() + order.rankCost(i)
+		cost := target.state.cost() + costPerRank*float64(order.Rank(i))
 		if target.Name == previous {
 			cost -= cachedPromptGain
 		}
-		next := candidate{target: target, cost: cost, score: order.scores[i]}
+		next := candidate{target: target, cost: cost, score: order.Score(i)}
 		for j := range best {
 			if next.precedes(best[j]) {
 				best[j], next = next, best[j]
@@ -156,11 +152,11 @@
 		if !target.state.hasReplicaRoom(want) {
 			continue
 		}
-		totalCost := target.state.cost() + order.rankCost(i)
+		totalCost := target.state.cost() + costPerRank*float64(order.Rank(i))
 		if target.Domain == domain {
 			totalCost += sameDomainCost
 		}
-		best = best.orCheaper(target, totalCost, order.scores[i])
+		best = best.orCheaper(target, totalCost, order.Score(i))
 	}
 	if best.target.Target == nil {
 		return site.Target{}, false
@@ -342,49 +338,9 @@
 	}
 }
 
-// sessionOrder is the order of targets for a session by rendezvous hashing, which is the same on every instance;
-// without a session it is random. Only the first few ranks matter, so the targets are not sorted.
-type sessionOrder struct {
-	scores []uint64
-	ranked [rankedTargets]int // ranked holds the indexes of the first targets in the order; -1 is none.
-}
-
-// newSessionOrder scores the targets for a session and ranks the first of them.
-func newSessionOrder(session string, targets []entry) *sessionOrder {
-	o := &sessionOrder{scores: make([]uint64, len(targets))}
-	for rank := range o.ranked {
-		o.ranked[rank] = -1
-	}
-	for i, t := range targets {
-		if session == "" {
-			o.scores[i] = rand.Uint64()
-		} else {
-			o.scores[i] = route.Score(session, t.Name)
-		}
-		o.insert(i, targets)
-	}
-	return o
-}
-
-// rankCost returns the cost of the i-th target's rank; all targets after the ranked ones cost the same.
-func (o *sessionOrder) rankCost(i int) float64 {
-	rank := slices.Index(o.ranked[:], i)
-	if rank < 0 {
-		rank = rankedTargets
-	}
-	return costPerRank * float64(rank)
-}
-
-// insert puts the i-th target into its rank if it is among the first.
-func (o *sessionOrder) insert(i int, targets []entry) {
-	for rank, other := range o.ranked {
-		if other >= 0 && (o.scores[other] > o.scores[i] || o.scores[other] == o.scores[i] && targets[other].Name < targets[i].Name) {
-			continue
-		}
-		copy(o.ranked[rank+1:], o.ranked[rank:])
-		o.ranked[rank] = i
-		return
-	}
+// newSessionOrder orders targets for a session.
+func newSessionOrder(session string, targets []entry) *route.Order {
+	return route.NewOrder(session, len(targets), func(i int) string { return targets[i].Name })
 }
 
 // candidatesFor returns the targets of a service that take new requests and are neither avoided nor suspect or, when
--- a/entry/picker/picker_test.go
+++ b/entry/picker/picker_test.go
@@ -257,7 +257,7 @@
 // TestOrder checks that the first ranks of a session's order are those of the complete rendezvous ranking, and that all
 // later ones cost the same.
 func TestOrder(t *testing.T) {
-	cases := map[string]int{"none": 0, "one": 1, "three": 3, "as-many-as-ranks": rankedTargets, "many": 200}
+	cases := map[string]int{"none": 0, "one": 1, "three": 3, "as-many-as-ranks": route.RankedTargets, "many": 200}
 	for name, size := range cases {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
@@ -272,9 +272,9 @@
 				order := newSessionOrder(session, targets)
 				best := candidate{}
 				for i, target := range targets {
-					rank := min(slices.Index(route.Rank(session, names), target.Name), rankedTargets)
-					c.Assert(order.rankCost(i), quicktest.Equals, costPerRank*float64(rank))
-					best = best.orCheaper(target, 1, order.scores[i])
+					rank := min(slices.Index(route.Rank(session, names), target.Name), route.RankedTargets)
+					c.Assert(order.Rank(i), quicktest.Equals, rank)
+					best = best.orCheaper(target, 1, order.Score(i))
 				}
 				if size > 0 {
 					c.Assert(best.target.Name, quicktest.Equals, route.Rank(session, names)[0])
