--- a/entry/fleet/fleet_test.go
+++ b/entry/fleet/fleet_test.go
@@ -168,6 +168,7 @@
 					c.Check(offered, quicktest.Equals, !test.withdrawn, quicktest.Commentf("%s", name))
 				}
 				if test.messages != nil {
+					synctest.Wait() // The instance may log at this very moment of virtual time.
 					c.Check(messages(firstHandler, "i-3"), quicktest.DeepEquals, test.messages)
 				}
 			})
