picker: streams and replicas are chosen by one loop

Cause: on reading the change again, the loop over candidates stood twice (cheapest and Backup), with candidate.orCheaper left over for the second and a test; a target's entry was put together in two places; the lifetime of reports was stored beside the interval that it follows from. Change: cheapest takes an adjustment of the cost, as Backup needs it; targetTable has one look-up by name; isExpired derives the lifetime. Ruled out: taking the last target before the sums are refreshed: TestStreamChoice/previous-target-reported-by-peer failed on that try. Conclusion: behaviour is the same; TestOrder compares through precedes.

--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -85,19 +85,19 @@
 // Stream chooses the target with the lowest cost for a stream. The cost is the load from all instances; the first few
 // targets in the order of the session are preferred, and most of all the one that has already read its prompt.
 func (p *Picker) Stream(want Want) (*Pick, bool) {
-	best := p.cheapest(want, 1)
+	best := p.cheapestForStream(want, 1)
 	if len(best) == 0 {
 		return nil, false
 	}
-	return p.reserveStream(best[0].target, want), true
+	return p.reserveStream(best[0], want), true
 }
 
 // Best returns up to count targets for a stream, the one that Stream would choose first, without counting the stream on
 // any. It returns that one alone if it has already read the session's prompt.
 func (p *Picker) Best(want Want, count int) []site.Target {
 	var targets []site.Target
-	for _, c := range p.cheapest(want, count) {
-		targets = append(targets, *c.target.Target)
+	for _, target := range p.cheapestForStream(want, count) {
+		targets = append(targets, *target.Target)
 	}
 	if len(targets) > 0 && targets[0].Name == p.lastTarget(want.Session) {
 		return targets[:1]
@@ -114,19 +114,30 @@
 	return p.reserveStream(current, want), true
 }
 
-// cheapest returns up to count targets for a stream, the cheapest first.
-func (p *Picker) cheapest(want Want, count int) []candidate {
-	p.refreshSums()
-	candidates := candidatesFor(p.targetTable.Load(), want)
-	order := newSessionOrder(want.Session, candidates)
+// cheapestForStream returns up to count targets for a stream, the cheapest first.
+func (p *Picker) cheapestForStream(want Want, count int) []entry {
+	p.refreshSums() // It also brings the targets of other instances' sessions up to date.
 	previous := p.lastTarget(want.Session)
-	var best []candidate
-	for i, target := range candidates {
-		cost := target.state.cost() + costPerRank*float64(order.Rank(i))
+	return p.cheapest(want, count, func(target entry) (float64, bool) {
 		if target.Name == previous {
-			cost -= cachedPromptGain
+			return -cachedPromptGain, true
+		}
+		return 0, true
+	})
+}
+
+// cheapest returns up to count targets, the cheapest first. adjust returns what is added to the cost of a target, and
+// false to leave it out.
+func (p *Picker) cheapest(want Want, count int, adjust func(entry) (float64, bool)) []entry {
+	targets := candidatesFor(p.targetTable.Load(), want)
+	order := newSessionOrder(want.Session, targets)
+	var best []candidate
+	for i, target := range targets {
+		adjustment, ok := adjust(target)
+		if !ok {
+			continue
 		}
-		next := candidate{target: target, cost: cost, score: order.Score(i)}
+		next := candidate{target: target, cost: target.state.cost() + costPerRank*float64(order.Rank(i)) + adjustment, score: order.Score(i)}
 		for j := range best {
 			if next.precedes(best[j]) {
 				best[j], next = next, best[j]
@@ -136,7 +147,11 @@
 			best = append(best, next)
 		}
 	}
-	return best
+	chosen := make([]entry, len(best))
+	for i, c := range best {
+		chosen[i] = c.target
+	}
+	return chosen
 }
 
 // Backup chooses the target that keeps a replica of a stream's prompt memory, from which the stream can be resumed: the
@@ -144,24 +159,16 @@
 // candidate has memory left.
 func (p *Picker) Backup(want Want, domain string) (site.Target, bool) {
 	p.refreshSums()
-	t := p.targetTable.Load()
-	candidates := candidatesFor(t, want)
-	order := newSessionOrder(want.Session, candidates)
-	best := candidate{}
-	for i, target := range candidates {
-		if !target.state.hasReplicaRoom(want) {
-			continue
-		}
-		totalCost := target.state.cost() + costPerRank*float64(order.Rank(i))
+	best := p.cheapest(want, 1, func(target entry) (float64, bool) {
 		if target.Domain == domain {
-			totalCost += sameDomainCost
+			return sameDomainCost, target.state.hasReplicaRoom(want)
 		}
-		best = best.orCheaper(target, totalCost, order.Score(i))
-	}
-	if best.target.Target == nil {
+		return 0, target.state.hasReplicaRoom(want)
+	})
+	if len(best) == 0 {
 		return site.Target{}, false
 	}
-	return *best.target.Target, true
+	return *best[0].Target, true
 }
 
 // IsSound reports whether a target is neither removed, restarted, draining nor suspect.
@@ -188,13 +195,8 @@
 
 // currentEntry returns the current entry of a target, and false if it was removed, restarted or has started to drain.
 func (p *Picker) currentEntry(target site.Target) (entry, bool) {
-	t := p.targetTable.Load()
-	i, ok := t.targetSet.Index(target.Name)
-	if !ok {
-		return entry{}, false
-	}
-	current := entry{Target: &t.targetSet.All()[i], state: t.states[i]}
-	return current, !current.Leaving && current.IsSameStart(target)
+	current, ok := p.targetTable.Load().entry(target.Name)
+	return current, ok && !current.Leaving && current.IsSameStart(target)
 }
 
 // reserveStream counts a stream on a target and records the target as that of the session.
@@ -208,12 +210,12 @@
 
 // Keep counts a replica on a target until release is called.
 func (p *Picker) Keep(target site.Target) (release func()) {
-	s, ok := p.targetTable.Load().state(target.Name)
+	current, ok := p.targetTable.Load().entry(target.Name)
 	if !ok {
 		return func() {}
 	}
-	s.replicas.Add(1)
-	return sync.OnceFunc(func() { s.replicas.Add(-1) })
+	current.state.replicas.Add(1)
+	return sync.OnceFunc(func() { current.state.replicas.Add(-1) })
 }
 
 // reserve counts a request on a target.
@@ -309,26 +311,16 @@
 	return float64(promptsHeld*int64(want.Prompt)) <= replicaMemoryShare*float64(want.Memory)
 }
 
-// candidate is the best target so far; the zero value is none.
+// candidate is a target with its cost, and with its score in the order of the session for targets of equal cost.
 type candidate struct {
 	target entry
 	cost   float64
 	score  uint64
 }
 
-// orCheaper returns the given target if it precedes c, otherwise c.
-func (c candidate) orCheaper(target entry, cost float64, score uint64) candidate {
-	if next := (candidate{target: target, cost: cost, score: score}); next.precedes(c) {
-		return next
-	}
-	return c
-}
-
 // precedes reports whether c costs less than other, or as much and comes first in the order of the session.
 func (c candidate) precedes(other candidate) bool {
 	switch {
-	case other.target.Target == nil:
-		return true
 	case c.cost != other.cost:
 		return c.cost < other.cost
 	case c.score != other.score:
--- a/entry/picker/loads.go
+++ b/entry/picker/loads.go
@@ -27,7 +27,6 @@
 // Expect sets the interval at which instances send load reports, which determines the age at which reports expire.
 func (p *Picker) Expect(interval time.Duration) {
 	p.reportInterval.Store(int64(interval))
-	p.reportTTL.Store(int64(max(minReportTTL, time.Duration(reportTTLIntervals*float64(interval)))))
 }
 
 // LoadAge returns how old the load that other instances report gets before the next report.
@@ -37,7 +36,7 @@
 
 // isExpired reports whether a load report is too old to count.
 func (p *Picker) isExpired(report receivedReport, now time.Time) bool {
-	return now.Sub(report.received) > time.Duration(p.reportTTL.Load())
+	return now.Sub(report.received) > max(minReportTTL, time.Duration(reportTTLIntervals*float64(p.LoadAge())))
 }
 
 // Known returns the sequences of the load reports that were received from other instances.
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -81,13 +81,13 @@
 	return next
 }
 
-// state returns the state of a target by name.
-func (t targetTable) state(name string) (*targetState, bool) {
+// entry returns the entry of a target by name.
+func (t targetTable) entry(name string) (entry, bool) {
 	i, ok := t.targetSet.Index(name)
 	if !ok {
-		return nil, false
+		return entry{}, false
 	}
-	return t.states[i], true
+	return entry{Target: &t.targetSet.All()[i], state: t.states[i]}, true
 }
 
 // newTargetState returns the state of a target that nothing is known of yet.
@@ -113,7 +113,6 @@
 	ended          sync.Map                            // ended maps the names of ended targets to a time.Time.
 	sumsStale      atomic.Bool                         // sumsStale tells that sumReports must run before the next use.
 	reportInterval atomic.Int64                        // reportInterval is the time between two load reports of an instance, in nanoseconds.
-	reportTTL      atomic.Int64                        // reportTTL is the age at which reports expire, in nanoseconds.
 	reconcileMu    sync.Mutex
 
 	mu               sync.Mutex
@@ -139,7 +138,6 @@
 		placements:  make(map[string]placement),
 		targetsLost: set.GetOrCreateCounter("bramleywharf_targets_lost_total"),
 	}
-	p.reportTTL.Store(int64(minReportTTL))
 	set.NewGauge("bramleywharf_targets", func() float64 { return float64(p.targetTable.Load().targetSet.Len()) })
 	set.NewGauge("bramleywharf_targets_suspect", p.suspectCount)
 	p.Loop = wait.Start(p.loop)
--- a/entry/picker/picker_test.go
+++ b/entry/picker/picker_test.go
@@ -270,11 +270,13 @@
 			for n := range 50 {
 				session := fmt.Sprint("session-", n)
 				order := newSessionOrder(session, targets)
-				best := candidate{}
+				var best candidate
 				for i, target := range targets {
 					rank := min(slices.Index(route.Rank(session, names), target.Name), route.RankedTargets)
 					c.Assert(order.Rank(i), quicktest.Equals, rank)
-					best = best.orCheaper(target, 1, order.Score(i))
+					if next := (candidate{target: target, cost: 1, score: order.Score(i)}); i == 0 || next.precedes(best) {
+						best = next
+					}
 				}
 				if size > 0 {
 					c.Assert(best.target.Name, quicktest.Equals, route.Rank(session, names)[0])
