feed, fleet: a page and a heartbeat are merged once

Cause: Feed.Take and Fleet.merge merged into a copy to see whether anything changes, and then again under the lock; since UpdateNotify wakes nobody for an unchanged value, the first pass is not needed. A watcher kept two flags for what one says: whether its first call, the stale list, has been made. Change: one merge each; one flag. The feed's tests share newFeed. Conclusion: behaviour is the same.

--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -139,10 +139,6 @@
 
 // Take merges a page from the store or a peer into the view.
 func (f *Feed) Take(p mirror.Page, from string) {
-	current := f.view.Load()
-	if _, changed := current.WithPage(p); !changed && p.Revision <= current.Revision() {
-		return
-	}
 	changed := false
 	f.view.UpdateNotify(func(v mirror.View) (mirror.View, bool) {
 		v, changed = v.WithPage(p)
@@ -262,8 +258,7 @@
 	feed          *Feed
 	revision      uint64 // revision is where the next watch starts.
 	listed        bool   // listed is true once revision is known.
-	staleListed   bool   // staleListed is true once a stale list was asked for; only the first list may be one.
-	confirming    bool   // confirming is true while the last call shows what the store holds now.
+	queried       bool   // queried is true after the first call, a list that may be stale.
 	wasIdle       bool   // wasIdle is true after other instances queried the store for this one.
 	failing       bool   // failing is true while calls fail, so that each series of failures logs one line.
 	backoff       time.Duration
@@ -278,7 +273,9 @@
 		w.wasIdle = false
 		w.revision = max(w.revision, f.View().Revision())
 	}
-	page, err := w.listOrWatch(ctx)
+	isFirst := !w.queried
+	w.queried = true
+	page, err := w.listOrWatch(ctx, isFirst)
 	switch {
 	case ctx.Err() != nil:
 		return
@@ -292,25 +289,22 @@
 		wait.Sleep(ctx, w.nextBackoff())
 		return
 	}
-	w.recordSuccess(page, start)
+	w.recordSuccess(page, start, isFirst)
 	wait.Sleep(ctx, f.settings.Pace-time.Since(start))
 }
 
-// listOrWatch makes one call. The first list may be stale, since a watch of this or another instance confirms it; that
+// listOrWatch makes one call. The first one is a list that may be stale, since a watch of this or another instance confirms it; that
 // is what a start of the whole fleet costs most. A failed watch is followed by a list, since the store leaves a watch without an answer
 // when the history is gone.
-func (w *watcher) listOrWatch(ctx context.Context) (mirror.Page, error) {
+func (w *watcher) listOrWatch(ctx context.Context, isFirst bool) (mirror.Page, error) {
 	if !w.listed {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		if !w.staleListed {
-			w.staleListed, w.confirming = true, false
+		if isFirst {
 			return w.feed.store.ListStale(ctx)
 		}
-		w.confirming = true
 		return w.feed.store.List(ctx)
 	}
-	w.confirming = true
 	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
 	page, err := w.feed.store.Watch(ctx, w.revision, watchWait)
@@ -341,8 +335,8 @@
 }
 
 // recordSuccess merges the page of a call that began at start. A watch confirms the view as of its answer, a list
-// only as of its start, and a stale list not at all.
-func (w *watcher) recordSuccess(p mirror.Page, start time.Time) {
+// only as of its start, and the first, stale list not at all.
+func (w *watcher) recordSuccess(p mirror.Page, start time.Time, isFirst bool) {
 	f := w.feed
 	if w.failing {
 		w.failing = false
@@ -355,7 +349,7 @@
 	}
 	w.listed = true
 	w.revision = max(w.revision, p.Revision)
-	if w.confirming {
+	if !isFirst {
 		f.Confirm(time.Since(asOf))
 	}
 	f.Take(p, "store")
--- a/entry/feed/feed_test.go
+++ b/entry/feed/feed_test.go
@@ -85,6 +85,11 @@
 	return s.calls
 }
 
+// newFeed returns a feed of a store without a fleet.
+func newFeed(s *fakeStore, pace time.Duration) *Feed {
+	return New(Settings{Kind: "k", Pace: pace}, s, &log.Logger{Handler: discard.New()}, metrics.NewSet())
+}
+
 // fleet is a small fleet that elects the instance as a watcher, with the first that take over, or later.
 type fleet struct {
 	isWatcher, takesOverFirst bool
@@ -131,10 +136,7 @@
 				c := quicktest.New(t)
 				time.Sleep(time.Millisecond)
 				s := &fakeStore{page: initial}
-				f := New(
-					Settings{Kind: "k", Pace: 100 * time.Millisecond}, s,
-					&log.Logger{Handler: discard.New()}, metrics.NewSet(),
-				)
+				f := newFeed(s, 100*time.Millisecond)
 				defer f.Close()
 				time.Sleep(time.Second)
 				c.Assert(f.View().Revision(), quicktest.Equals, uint64(5))
@@ -169,10 +171,7 @@
 		c := quicktest.New(t)
 		time.Sleep(time.Millisecond)
 		s := &fakeStore{page: mirror.Page{Revision: 5}}
-		f := New(
-			Settings{Kind: "k", Pace: 100 * time.Millisecond}, s,
-			&log.Logger{Handler: discard.New()}, metrics.NewSet(),
-		)
+		f := newFeed(s, 100*time.Millisecond)
 		defer f.Close()
 		time.Sleep(100 * time.Millisecond)
 		f.Assign(fleet{})
@@ -194,10 +193,7 @@
 		c := quicktest.New(t)
 		time.Sleep(time.Millisecond)
 		s := &fakeStore{page: mirror.Page{Revision: 5}}
-		f := New(
-			Settings{Kind: "k", Pace: 100 * time.Millisecond}, s,
-			&log.Logger{Handler: discard.New()}, metrics.NewSet(),
-		)
+		f := newFeed(s, 100*time.Millisecond)
 		defer f.Close()
 		time.Sleep(50 * time.Millisecond)
 		c.Assert(f.View().Revision(), quicktest.Equals, uint64(5))
@@ -248,10 +244,7 @@
 				c := quicktest.New(t)
 				time.Sleep(time.Millisecond)
 				s := &fakeStore{page: mirror.Page{Revision: 5}}
-				f := New(
-					Settings{Kind: "k", Pace: 100 * time.Millisecond}, s,
-					&log.Logger{Handler: discard.New()}, metrics.NewSet(),
-				)
+				f := newFeed(s, 100*time.Millisecond)
 				defer f.Close()
 				f.Assign(test.rank)
 				time.Sleep(time.Second)
@@ -284,10 +277,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				time.Sleep(time.Millisecond)
 				s := &fakeStore{page: mirror.Page{Revision: 5}}
-				f := New(
-					Settings{Kind: "k", Pace: 100 * time.Millisecond}, s,
-					&log.Logger{Handler: discard.New()}, metrics.NewSet(),
-				)
+				f := newFeed(s, 100*time.Millisecond)
 				defer f.Close()
 				f.Assign(fleet{})
 				time.Sleep(time.Second)
@@ -375,10 +365,7 @@
 				c := quicktest.New(t)
 				time.Sleep(time.Millisecond)
 				s := &fakeStore{page: mirror.Page{Revision: 5, Objects: []mirror.Object{known}}, hang: true}
-				f := New(
-					Settings{Kind: "k", Pace: time.Hour}, s,
-					&log.Logger{Handler: discard.New()}, metrics.NewSet(),
-				)
+				f := newFeed(s, time.Hour)
 				defer f.Close()
 				time.Sleep(time.Second)
 				changed := f.Changed()
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -196,15 +196,12 @@
 	if m.Name == f.settings.Self.Name {
 		m = f.refute(m)
 	}
-	if _, changed := f.View().WithMember(m); !changed {
-		return member.Member{}, false // Nearly every heartbeat repeats what is known; it must not replace the view.
-	}
 	changed := false
 	var current member.Member
-	f.view.Update(func(v member.View) member.View {
+	f.view.UpdateNotify(func(v member.View) (member.View, bool) {
 		v, changed = v.WithMember(m)
 		current, _ = v.Get(m.Name)
-		return v
+		return v, changed
 	})
 	if changed {
 		f.recordState(current)
