flight: a target that is not asked is not chosen a second time

Cause: with one candidate, or none, pickTarget scored all targets again. Change: the one is taken, none is none. Conclusion: behaviour is the same, but for a target that ends between the two scorings.

--- a/entry/flight/ask.go
+++ b/entry/flight/ask.go
@@ -25,14 +25,19 @@
 // pickTarget chooses a target for the stream. If load reports are old, it asks the best targets how many prompts they
 // have to read first.
 func (s *stream) pickTarget(ctx context.Context) (*picker.Pick, bool) {
+	want := s.want()
 	if s.sender.Picker.LoadAge() < maxLoadAge {
-		return s.sender.Picker.Stream(s.want())
+		return s.sender.Picker.Stream(want)
 	}
-	candidates := s.sender.Picker.Best(s.want(), askedTargets)
-	if len(candidates) < 2 {
-		return s.sender.Picker.Stream(s.want())
+	candidates := s.sender.Picker.Best(want, askedTargets)
+	switch len(candidates) {
+	case 0:
+		return nil, false
+	case 1:
+		return s.sender.Picker.StreamAt(candidates[0], want)
+	default:
+		return s.sender.Picker.StreamAt(candidates[route.LeastBacklog(s.askBacklogs(ctx, candidates))], want)
 	}
-	return s.sender.Picker.StreamAt(candidates[route.LeastBacklog(s.askBacklogs(ctx, candidates))], s.want())
 }
 
 // askBacklogs asks targets at the same time how many prompts they have to read.
