--- a/core/mirror/view.go
+++ b/core/mirror/view.go
@@ -45,7 +45,7 @@
 
 // Get returns an object that is not deleted.
 func (v View) Get(name string) (Object, bool) {
-	i, ok := v.find(name)
+	i, ok := find(v.objects, name)
 	if !ok || v.objects[i].Deleted {
 		return Object{}, false
 	}
@@ -88,9 +88,10 @@
 	return next, changed
 }
 
-// find returns the position of an object, or the one where it belongs, and whether the view has it.
-func (v View) find(name string) (int, bool) {
-	return slices.BinarySearchFunc(v.objects, name, func(o Object, name string) int { return strings.Compare(o.Name, name) })
+// find returns the position of an object among objects sorted by name, or the one where it belongs, and whether it is
+// there.
+func find(objects []Object, name string) (int, bool) {
+	return slices.BinarySearchFunc(objects, name, func(o Object, name string) int { return strings.Compare(o.Name, name) })
 }
 
 // updates returns those objects of a page that are newer than the ones in the view, sorted by name, and whether any of
@@ -99,7 +100,7 @@
 	var updates []Object
 	changed := false
 	for _, o := range p.Objects {
-		i, known := v.find(o.Name)
+		i, known := find(v.objects, o.Name)
 		if known && !supersedes(o, v.objects[i]) {
 			continue
 		}
@@ -155,7 +156,7 @@
 	next := make([]Object, 0, len(objects)+len(updates))
 	copied := 0
 	for _, update := range updates {
-		i, known := View{objects: objects[copied:]}.find(update.Name)
+		i, known := find(objects[copied:], update.Name)
 		next = append(append(next, objects[copied:copied+i]...), update)
 		copied += i
 		if known {
--- a/core/site/site_test.go
+++ b/core/site/site_test.go
@@ -87,8 +87,10 @@
 				set = set.WithTargets(s.targets, start.Add(s.elapsed), s.retention)
 			}
 			var got []string
-			for _, target := range set.Available("s") {
-				got = append(got, target.Name)
+			for _, target := range set.All() {
+				if !target.Leaving {
+					got = append(got, target.Name)
+				}
 			}
 			quicktest.Assert(t, got, quicktest.DeepEquals, test.want)
 		})
--- a/core/site/target.go
+++ b/core/site/target.go
@@ -42,17 +42,6 @@
 	return s.targets
 }
 
-// Available returns the targets of a service that are not draining, sorted by name.
-func (s *TargetSet) Available(service string) []Target {
-	var available []Target
-	for _, t := range s.targets {
-		if t.Service == service && !t.Leaving {
-			available = append(available, t)
-		}
-	}
-	return available
-}
-
 // ChangesSince returns what has changed since an older set, in the order of the targets' names.
 func (s *TargetSet) ChangesSince(old *TargetSet) Changes {
 	var c Changes
@@ -161,18 +150,11 @@
 			newest[i] = t
 		}
 	}
-	if !slices.IsSortedFunc(newest, compareNames) {
-		sortByName(newest)
-	}
+	sortByName(newest)
 	return newest
 }
 
 // sortByName sorts targets by name.
 func sortByName(targets []Target) {
-	slices.SortFunc(targets, compareNames)
-}
-
-// compareNames compares targets by name.
-func compareNames(a, b Target) int {
-	return strings.Compare(a.Name, b.Name)
+	slices.SortFunc(targets, func(a, b Target) int { return strings.Compare(a.Name, b.Name) })
 }
