link, engine: the bound on heads says what it counts, one constructor of transports

Cause: maxInterim counted the final head as well, so that its name and message were off by one; the same three settings stood in four transports. Change: maxHeads, with the same value; newTransport. Conclusion: behaviour is the same.

--- a/entry/internal/engine/caller.go
+++ b/entry/internal/engine/caller.go
@@ -84,7 +84,7 @@
 		}
 		return conn, nil
 	}
-	return &HTTPCaller{transport: &http.Transport{DialContext: dialMarked, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}}
+	return &HTTPCaller{transport: newTransport(dialMarked, false)}
 }
 
 // Call sends a call once over its own connection.
--- a/entry/internal/engine/http.go
+++ b/entry/internal/engine/http.go
@@ -59,9 +59,20 @@
 	dial := (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}).DialContext
 	countedDial := meter.CountBytes(dial, set.GetOrCreateCounter("bramleywharf_target_report_bytes_total"))
 	return &HTTP{
-		pooledTransport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdlePerTarget, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
-		freshTransport:  &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
-		reportTransport: &http.Transport{DialContext: countedDial, MaxIdleConnsPerHost: maxIdlePerTarget, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
+		pooledTransport: newTransport(dial, true),
+		freshTransport:  newTransport(dial, false),
+		reportTransport: newTransport(countedDial, true),
+	}
+}
+
+// newTransport returns a transport to targets that keeps its connections for later requests, or uses each only once.
+func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error), keep bool) *http.Transport {
+	return &http.Transport{
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    maxIdlePerTarget,
+		DisableKeepAlives:      !keep,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/entry/link/conn.go
+++ b/entry/link/conn.go
@@ -50,7 +50,7 @@
 // readHead reads the head of the next final response within maxHeadSize, and skips interim ones.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
 	defer func() { c.input.left = -1 }()
-	for range maxInterim {
+	for range maxHeads {
 		c.input.left = maxHeadSize
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -60,7 +60,7 @@
 			return response, nil
 		}
 	}
-	return nil, fmt.Errorf("%w: over %d interim responses", ErrOversized, maxInterim)
+	return nil, fmt.Errorf("%w: no final response within %d heads", ErrOversized, maxHeads)
 }
 
 // skipBody reads and drops the body of a response to another request, within maxStraySize and straySkipTimeout.
--- a/entry/link/endless_test.go
+++ b/entry/link/endless_test.go
@@ -117,7 +117,7 @@
 	cases := map[string]string{
 		"continue":    "HTTP/1.1 100 Continue\r\n\r\n",
 		"early-hints": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
-		"several":     strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", maxInterim-1),
+		"several":     strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", maxHeads-1),
 	}
 	for name, interim := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -28,7 +28,7 @@
 	keepAliveCount     = 2                      // unanswered keep-alive probes that end a connection
 	readBufferSize     = 4 << 10                // in bytes, for each connection
 	maxStrayResponses  = 3                      // most responses that are read to find the right one
-	maxInterim         = 8                      // most interim responses (1xx) that are read before the final one
+	maxHeads           = 8                      // most heads that are read for one response, interim ones (1xx) included
 	maxHeadSize        = 64 << 10               // in bytes, for the head of one response
 	maxStraySize       = 256 << 10              // in bytes, for the body of a response that is skipped
 	straySkipTimeout   = time.Second            // bounds the time to skip the body of one response
