inst: count idle connections closed and requests cut by this instance

A request whose connection this instance had closed as idle was logged as "caller disconnected", like one whose caller had left, so that neither the log nor the metrics could tell the two apart. The connections closed at the idle limit and the requests whose connection was closed that way are now counted, and each such request gets a line with its cause.

--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -295,13 +295,14 @@
 		filter.Noted{},
 	)
 	limits := i.board.Config().Limits
-	conns := newIdleConns(func() time.Duration { return i.board.Config().Limits.IdleTimeout })
+	conns := newIdleConns(func() time.Duration { return i.board.Config().Limits.IdleTimeout }, i.log, i.set)
 	i.addCloser(conns.Close)
 	callerServer := &http.Server{
-		Handler:           boundMemory(i.bodies, i.deps.Front(handler, i.board)),
+		Handler:           conns.countCut(i.deps.EchoHeader, boundMemory(i.bodies, i.deps.Front(handler, i.board))),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ConnState:         conns.trackState,
+		ConnContext:       withConn,
 	}
 	if err := i.serve(callerServer, members.Self().CallerAddress); err != nil {
 		return err
