--- a/entry/link/conn.go
+++ b/entry/link/conn.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -85,25 +84,7 @@
 
 // isReusable reports whether an idle connection has received nothing: no bytes, no end of file and no error.
 func (c *conn) isReusable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noInput := false
-	err = control.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, errno := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noInput = errno == syscall.EAGAIN
-		return true
-	})
-	return err == nil && noInput
+	return c.reader.Buffered() == 0 && !HasInput(c.Conn)
 }
 
 // idleDeadline returns when a target may close an idle connection: after the timeout in the Keep-Alive header of its
