link: a request whose caller has left is not sent

What callers saw: nothing, as they had left; their target ran the request.

Cause: a request takes a kept connection without a look at its context, and the connection is closed for an ended context by a goroutine that races with the write. A new connection was not affected, since dialling asks the context.

Change: Send returns a NotSentError for a cancelled context. An expired one is left to the attempt, whose failure says more about the target.

Before: TestCancelledRequestIsNotSent: "read response of target ...: context canceled" instead of a NotSentError, and the target had received 2 requests instead of 1.

--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -175,6 +175,9 @@
 // A NotSentError means that the target never received the request. After any
 // other error the request may have run.
 func (l *Link) Send(ctx context.Context, r Request) (*Reply, error) {
+	if err := ctx.Err(); errors.Is(err, context.Canceled) {
+		return nil, &NotSentError{Err: err}
+	}
 	c, err := l.getConn(ctx, r)
 	if err != nil {
 		return nil, &NotSentError{Err: err}
--- a/entry/link/link_test.go
+++ b/entry/link/link_test.go
@@ -243,3 +243,26 @@
 		})
 	}
 }
+
+// TestCancelledRequestIsNotSent checks that a request whose caller has left is not sent on an idle connection.
+func TestCancelledRequestIsNotSent(t *testing.T) {
+	c := quicktest.New(t)
+	var received atomic.Int64
+	target := newTarget(t, func(c net.Conn, r *http.Request, _, _ int) bool {
+		received.Add(1)
+		return respond(c, r.Header.Get("Id"), "Keep-Alive: timeout=60\r\n", "body")
+	})
+	l := newLink(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for attempt := int64(1); attempt <= 20; attempt++ {
+		_, err := exchange(l, Request{Address: target.address, Host: "h", Method: "GET", Path: "/"})
+		c.Assert(err, quicktest.IsNil)
+		_, err = l.Send(ctx, Request{Address: target.address, Host: "h", Method: "GET", Path: "/"})
+		var notSentErr *NotSentError
+		c.Check(errors.As(err, &notSentErr), quicktest.IsTrue, quicktest.Commentf("%v", err))
+		c.Check(errors.Is(err, context.Canceled), quicktest.IsTrue)
+		time.Sleep(10 * time.Millisecond) // A request that was sent reaches the target.
+		c.Check(received.Load(), quicktest.Equals, attempt)
+	}
+}
