conns: a connection that falls idle while the server drains is closed at once

Cause: an answer whose head was sent before the stop does not announce the end of its connection, which then stayed open for a moment after the answer, as for a new connection. A long request taken there late in the grace period could not end in time.

Change: a draining server closes a connection as soon as it is idle, unless its next request has already arrived; new ones keep their moment for the first request. Before that, in the lame-duck time, idle connections stay open.

Ruled out: closing the idle connections when the stop begins.

--- a/entry/inst/leave.go
+++ b/entry/inst/leave.go
@@ -27,8 +27,8 @@
 }
 
 // drain lets callers move to other instances, waits for open calls until the deadline, and stops the instance. Idle
-// connections stay open for the lame-duck time: callers with a list of instances from before use them without a new
-// connection, and each answer closes its own.
+// connections stay open for the lame-duck time, within which callers get a new list of instances, and each answer closes
+// its own.
 func (i *Instance) drain(deadline time.Time) {
 	defer close(i.done)
 	callerServer := i.callerServer.Load()
--- a/entry/internal/conns/phase.go
+++ b/entry/internal/conns/phase.go
@@ -29,7 +29,7 @@
 func (idle) isPhase()   {}
 func (closed) isPhase() {}
 
-// rule is the sealed set of reasons to close a connection that carries no request: overLimit and leaving.
+// rule is the sealed set of reasons to close a connection that carries no request: overLimit and draining.
 type rule interface {
 	isRule()
 }
@@ -39,11 +39,11 @@
 	limit time.Duration // limit is the idle limit in force; 0 means none.
 }
 
-// leaving closes all connections on which nothing has arrived for settleTime.
-type leaving struct{}
+// draining closes idle connections, and new ones on which nothing has arrived for settleTime.
+type draining struct{}
 
 func (overLimit) isRule() {}
-func (leaving) isRule()   {}
+func (draining) isRule()  {}
 
 // allowsClose reports whether a rule closes a connection in a phase.
 func allowsClose(r rule, p phase, now time.Time) bool {
@@ -55,12 +55,12 @@
 		}
 		// A caller may reuse the connection for as long as it was told when it got its last answer, or is told now.
 		return now.Sub(i.since) > max(i.limit, r.limit)
-	case leaving:
+	case draining:
 		switch p := p.(type) {
 		case fresh:
 			return now.Sub(p.since) > settleTime
 		case idle:
-			return now.Sub(p.since) > settleTime
+			return true
 		}
 	}
 	return false
--- a/entry/internal/conns/server.go
+++ b/entry/internal/conns/server.go
@@ -17,8 +17,7 @@
 const (
 	sweepInterval = time.Second           // sweepInterval is the time between two checks for idle connections.
 	drainInterval = 50 * time.Millisecond // drainInterval is that time while the server drains.
-	// settleTime is how long a draining server waits for a request on a connection that has just been opened or whose
-	// last answer did not announce its end.
+	// settleTime is how long a draining server waits for the first request on a connection that has just been opened.
 	settleTime = 200 * time.Millisecond
 )
 
@@ -34,8 +33,9 @@
 	log       log.Interface
 	http      *http.Server
 	sweeper   *wait.Loop
-	leaving   atomic.Bool
-	open      sync.Map // open holds the open connections as *conn.
+	leaving   atomic.Bool // leaving tells that answers announce the end of their connection.
+	draining  atomic.Bool // draining tells that connections close as soon as they are idle.
+	open      sync.Map    // open holds the open connections as *conn.
 	openCount atomic.Int64
 	listener  atomic.Pointer[listener]
 	overLimit *metrics.Counter
@@ -78,8 +78,8 @@
 	return err
 }
 
-// Leave makes all answers from now on announce that their connection closes. Idle connections stay open, since their
-// callers look for other servers only from time to time.
+// Leave makes all answers from now on announce that their connection closes. Idle connections stay open until Drain: a
+// caller whose request meets a close cannot know whether it was read.
 func (s *Server) Leave() {
 	s.leaving.Store(true)
 }
@@ -88,6 +88,7 @@
 // It returns when no connection is left, or an error when the context ends first.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Leave()
+	s.draining.Store(true)
 	if l := s.listener.Load(); l != nil {
 		l.stop()
 		select {
@@ -96,7 +97,7 @@
 		}
 	}
 	for {
-		s.sweep(leaving{}, time.Now())
+		s.sweep(draining{}, time.Now())
 		open := s.openCount.Load()
 		if open == 0 {
 			return nil
@@ -119,7 +120,7 @@
 // sweep closes the connections that a rule allows to close.
 func (s *Server) sweep(r rule, now time.Time) {
 	count := s.overLimit
-	if _, ok := r.(leaving); ok {
+	if _, ok := r.(draining); ok {
 		count = s.onLeaving
 	}
 	s.open.Range(func(key, _ any) bool {
@@ -139,6 +140,10 @@
 	switch state {
 	case http.StateIdle:
 		c.rest(time.Now(), s.settings.IdleLimit())
+		// The head of the answer may have been sent before the server began to leave.
+		if s.draining.Load() && c.closeUnused(draining{}, time.Now()) {
+			s.onLeaving.Inc()
+		}
 	case http.StateClosed, http.StateHijacked:
 		if _, wasOpen := s.open.LoadAndDelete(c); wasOpen {
 			s.openCount.Add(-1)
