conns, inst: a stop closes idle connections at its start

What callers saw: streams cut at the end of a stop's grace period and resumed elsewhere, more of them since idle connections stayed open for the lame-duck time.

Cause: streams that callers began on these connections last longer than the grace period. A caller that finds its idle connection closed opens one to another instance.

Change: a leaving server closes idle connections at once, and each connection when its answer is complete, by the same close that no request is read under. A new connection is still taken for one request; while the server drains it has a moment to send it.

Ruled out: that a request meets the close more often for it. Its bytes would have to be on their way in that moment, and it is not run.

--- a/entry/inst/leave.go
+++ b/entry/inst/leave.go
@@ -27,8 +27,7 @@
 }
 
 // drain lets callers move to other instances, waits for open calls until the deadline, and stops the instance. Idle
-// connections stay open for the lame-duck time, within which callers get a new list of instances, and each answer closes
-// its own.
+// connections are closed at the start, so that their callers' next streams begin where they can end.
 func (i *Instance) drain(deadline time.Time) {
 	defer close(i.done)
 	callerServer := i.callerServer.Load()
--- a/entry/internal/conns/phase.go
+++ b/entry/internal/conns/phase.go
@@ -29,7 +29,7 @@
 func (idle) isPhase()   {}
 func (closed) isPhase() {}
 
-// rule is the sealed set of reasons to close a connection that carries no request: overLimit and draining.
+// rule is the sealed set of reasons to close a connection that carries no request: overLimit, leaving and draining.
 type rule interface {
 	isRule()
 }
@@ -39,10 +39,14 @@
 	limit time.Duration // limit is the idle limit in force; 0 means none.
 }
 
+// leaving closes idle connections.
+type leaving struct{}
+
 // draining closes idle connections, and new ones on which nothing has arrived for settleTime.
 type draining struct{}
 
 func (overLimit) isRule() {}
+func (leaving) isRule()   {}
 func (draining) isRule()  {}
 
 // allowsClose reports whether a rule closes a connection in a phase.
@@ -55,6 +59,9 @@
 		}
 		// A caller may reuse the connection for as long as it was told when it got its last answer, or is told now.
 		return now.Sub(i.since) > max(i.limit, r.limit)
+	case leaving:
+		_, ok := p.(idle)
+		return ok
 	case draining:
 		switch p := p.(type) {
 		case fresh:
--- a/entry/internal/conns/server.go
+++ b/entry/internal/conns/server.go
@@ -33,8 +33,7 @@
 	log       log.Interface
 	http      *http.Server
 	sweeper   *wait.Loop
-	leaving   atomic.Bool // leaving tells that answers announce the end of their connection.
-	draining  atomic.Bool // draining tells that connections close as soon as they are idle.
+	leaving   atomic.Bool // leaving tells that a connection closes after the answer in progress.
 	open      sync.Map    // open holds the open connections as *conn.
 	openCount atomic.Int64
 	listener  atomic.Pointer[listener]
@@ -78,17 +77,17 @@
 	return err
 }
 
-// Leave makes all answers from now on announce that their connection closes. Idle connections stay open until Drain: a
-// caller whose request meets a close cannot know whether it was read.
+// Leave closes the idle connections, and from now on each connection after the answer in progress, which announces it
+// unless its head has been sent. New connections are still accepted, for one request each.
 func (s *Server) Leave() {
 	s.leaving.Store(true)
+	s.sweep(leaving{}, time.Now())
 }
 
 // Drain accepts no more connections, answers the requests that have arrived and closes the connections that carry none.
 // It returns when no connection is left, or an error when the context ends first.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Leave()
-	s.draining.Store(true)
 	if l := s.listener.Load(); l != nil {
 		l.stop()
 		select {
@@ -119,9 +118,9 @@
 
 // sweep closes the connections that a rule allows to close.
 func (s *Server) sweep(r rule, now time.Time) {
-	count := s.overLimit
-	if _, ok := r.(draining); ok {
-		count = s.onLeaving
+	count := s.onLeaving
+	if _, ok := r.(overLimit); ok {
+		count = s.overLimit
 	}
 	s.open.Range(func(key, _ any) bool {
 		if key.(*conn).closeUnused(r, now) {
@@ -141,7 +140,7 @@
 	case http.StateIdle:
 		c.rest(time.Now(), s.settings.IdleLimit())
 		// The head of the answer may have been sent before the server began to leave.
-		if s.draining.Load() && c.closeUnused(draining{}, time.Now()) {
+		if s.leaving.Load() && c.closeUnused(leaving{}, time.Now()) {
 			s.onLeaving.Inc()
 		}
 	case http.StateClosed, http.StateHijacked:
