flight, filter: a stream that this instance ended is told from one that its target broke off

What callers saw: streams ended before their last event, and neither a log line nor a metric said whether the target had broken off or this instance had given it up. Cause: chain.Severed held only why the stream did not go on; the metrics counted decisions of the monitor, not their kind. Class: a decision that leaves no trace of its reason. Change: the lines of interrupted attempts and severed streams have ended-by (target, silence, probe, report), and bramleywharf_streams_interrupted_total{by} counts attempts by it.

--- a/entry/chain/forward.go
+++ b/entry/chain/forward.go
@@ -59,9 +59,24 @@
 
 // Severed means that a response was begun and cannot be completed, so that the connection to the caller must be closed.
 type Severed struct {
-	Reason string
+	Reason  string // Reason is why the stream does not go on at another target.
+	EndedBy Ending // EndedBy is what ended its last attempt, or empty if none was interrupted.
 }
 
+// Ending is what ended an attempt before the last event of its stream.
+type Ending string
+
+// Endings: EndedByTarget is a response that the target broke off, the others are decisions of this instance.
+const (
+	EndedByTarget  Ending = "target"
+	EndedBySilence Ending = "silence" // EndedBySilence means that no event came in time.
+	EndedByProbe   Ending = "probe"   // EndedByProbe means that the silent target took no connection.
+	EndedByReport  Ending = "report"  // EndedByReport means that the silent target reported the stream as lost.
+)
+
+// Endings lists all values of Ending.
+var Endings = []Ending{EndedByTarget, EndedBySilence, EndedByProbe, EndedByReport}
+
 func (Forward) isRequest() {}
 
 func (Passed) isAnswer()   {}
--- a/entry/filter/trace.go
+++ b/entry/filter/trace.go
@@ -89,7 +89,7 @@
 			"pause-ms": a.Pause.Milliseconds(),
 		}).Info(message)
 	case chain.Severed:
-		line.WithField("cause", a.Reason).Warn(message)
+		line.WithFields(log.Fields{"cause": a.Reason, "ended-by": string(a.EndedBy)}).Warn(message)
 	case chain.Refused:
 		withRefusal(line, a.Refusal).Info(message)
 	default:
--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -66,7 +66,8 @@
 
 // interrupted means that the response ended, or was given up, before the last event.
 type interrupted struct {
-	cause string
+	cause   string
+	endedBy chain.Ending
 }
 
 // callerGone means that the caller no longer takes events.
@@ -110,7 +111,7 @@
 	}
 	s.sendCount++
 	if err != nil {
-		return interrupted{cause: s.cause(ctx, err)}
+		return interruptedBy(ctx, err)
 	}
 	defer reply.Close()
 	a := &attempt{stream: s, pick: pick, monitor: monitor, reply: reply, source: source, holder: holder}
@@ -128,12 +129,20 @@
 	return s.sender.Picker.Backup(want, runner.Domain)
 }
 
-// cause describes what ended a connection: the cause of the context if it has ended, otherwise the error.
-func (s *stream) cause(ctx context.Context, err error) string {
-	if cause := context.Cause(ctx); cause != nil {
-		return cause.Error()
+// interruptedBy returns the outcome of an attempt whose connection ended with err. The cause is that of the context if
+// it has ended.
+func interruptedBy(ctx context.Context, err error) outcome {
+	cause := context.Cause(ctx)
+	switch {
+	case cause == nil:
+		return interrupted{cause: err.Error(), endedBy: chain.EndedByTarget}
+	case errors.Is(cause, errUnreachable):
+		return interrupted{cause: cause.Error(), endedBy: chain.EndedByProbe}
+	case errors.Is(cause, errStreamLost):
+		return interrupted{cause: cause.Error(), endedBy: chain.EndedByReport}
+	default:
+		return interrupted{cause: cause.Error(), endedBy: chain.EndedBySilence}
 	}
-	return err.Error()
 }
 
 // handleResponse reads the response of the target and relays its events.
@@ -150,13 +159,13 @@
 		}
 		return notRun{received: true, misdirected: v.Misdirected, cause: fmt.Sprintf("status %d", reply.Status())}
 	case send.Unsigned:
-		return interrupted{cause: fmt.Sprintf("response with status %d has no signature", reply.Status())}
+		return interrupted{cause: fmt.Sprintf("response with status %d has no signature", reply.Status()), endedBy: chain.EndedByTarget}
 	}
 	head := chain.Head{Status: reply.Status(), Header: s.sender.Dialect.Response(reply.Header())}
 	if reply.Status() != 200 {
 		body, err := reply.Whole()
 		if err != nil {
-			return interrupted{cause: s.cause(ctx, err)}
+			return interruptedBy(ctx, err)
 		}
 		return wholeResponse{response: chain.Passed{Head: head, Body: body, Sends: s.sendCount + s.unsentCount}}
 	}
@@ -174,9 +183,9 @@
 		case err == io.EOF && s.headSent.Load():
 			return completed{}
 		case err != nil:
-			return interrupted{cause: s.cause(ctx, err)}
+			return interruptedBy(ctx, err)
 		case !isNextEvent(s.lastEventID, e.id):
-			return interrupted{cause: fmt.Sprintf("event %s does not follow event %s", e.id, s.lastEventID)}
+			return interrupted{cause: fmt.Sprintf("event %s does not follow event %s", e.id, s.lastEventID), endedBy: chain.EndedByTarget}
 		}
 		a.monitor.recordEvent()
 		if first {
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -49,6 +49,7 @@
 	lastEventID       string          // id of the last event that the caller has
 	headSent          atomic.Bool     // whether the caller has the head of the response
 	mayHaveRun        bool            // whether a target may have run the request
+	endedBy           chain.Ending    // what ended the last interrupted attempt, or empty
 	failedResponse    *chain.Passed   // a target's error response, passed on if no other attempt succeeds
 	replica           atomic.Pointer[replica]
 	lastEventAt       time.Time     // when the last event was delivered
@@ -184,6 +185,8 @@
 	case notRun:
 		s.reportFailure(pick, r.unreachable, r.cause)
 	case interrupted:
+		s.endedBy = r.endedBy
+		s.sender.Counts.Endings[r.endedBy].Inc()
 		s.reportFailure(pick, true, r.cause)
 	}
 	s.avoidedTargets[pick.Target.Name] = true
@@ -251,7 +254,7 @@
 	switch {
 	case s.headSent.Load():
 		s.sender.Counts.Severed.Inc()
-		return chain.Severed{Reason: reason}
+		return chain.Severed{Reason: reason, EndedBy: s.endedBy}
 	case s.failedResponse != nil:
 		return *s.failedResponse
 	case s.mayHaveRun && !s.policy.Resumable:
@@ -297,6 +300,7 @@
 		if !s.lastEventAt.IsZero() {
 			fields["silence-ms"] = time.Since(s.lastEventAt).Milliseconds()
 		}
+		fields["ended-by"] = string(r.endedBy)
 		s.sender.Log.WithFields(fields).WithField("cause", r.cause).Info("stream ended before its last event")
 	case wholeResponse:
 		s.sender.Log.WithFields(fields).WithField("status", r.response.Head.Status).Info("target answered without a stream")
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -1,6 +1,7 @@
 package send
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -124,6 +125,7 @@
 	Rereads  *metrics.Counter
 	Severed  *metrics.Counter
 	Silences *metrics.Counter
+	Endings  map[chain.Ending]*metrics.Counter // Endings counts interrupted attempts of streams by what ended them.
 	First    *metrics.Histogram
 	Pause    *metrics.Histogram
 	Resume   *metrics.Histogram
@@ -131,6 +133,10 @@
 
 // New returns a sender and makes the picker report its requests and retries to other instances.
 func New(s Settings, l *link.Link, p *picker.Picker, d Dialect, logger log.Interface, set *metrics.Set) *Sender {
+	endings := make(map[chain.Ending]*metrics.Counter, len(chain.Endings))
+	for _, ending := range chain.Endings {
+		endings[ending] = set.GetOrCreateCounter(fmt.Sprintf("bramleywharf_streams_interrupted_total{by=%q}", string(ending)))
+	}
 	sender := &Sender{
 		Link:      l,
 		Picker:    p,
@@ -148,6 +154,7 @@
 			Rereads:  set.GetOrCreateCounter(`bramleywharf_streams_resumed_total{from="prompt"}`),
 			Severed:  set.GetOrCreateCounter("bramleywharf_streams_severed_total"),
 			Silences: set.GetOrCreateCounter("bramleywharf_streams_silent_total"),
+			Endings:  endings,
 			First:    set.GetOrCreateHistogram("bramleywharf_first_event_seconds"),
 			Pause:    set.GetOrCreateHistogram("bramleywharf_event_pause_seconds"),
 			Resume:   set.GetOrCreateHistogram("bramleywharf_stream_resume_seconds"),
