--- a/entry/flight/event_test.go
+++ b/entry/event/event_test.go
@@ -1,4 +1,4 @@
-package flight
+package event
 
 import (
 	"io"
@@ -10,7 +10,7 @@
 )
 
 func TestEvents(t *testing.T) {
-	long := "id: 1\ndata: " + strings.Repeat("x", 3*eventBufferSize) + "\n\n"
+	long := "id: 1\ndata: " + strings.Repeat("x", 3*bufferSize) + "\n\n"
 	cases := map[string]struct {
 		stream string
 		events []string // whole events that are read
@@ -25,27 +25,27 @@
 		"ends-within-a-line":  {stream: "id: 1\ndata: a\n\nid: 2\nda", events: []string{"id: 1\ndata: a\n\n"}, ids: []string{"1"}, err: io.ErrUnexpectedEOF},
 		"ends-after-a-line":   {stream: "id: 1\ndata: a\n\nid: 2\n", events: []string{"id: 1\ndata: a\n\n"}, ids: []string{"1"}, err: io.ErrUnexpectedEOF},
 		"larger-than-buffer":  {stream: long + "id: 2\n\n", events: []string{long, "id: 2\n\n"}, ids: []string{"1", "2"}, err: io.EOF},
-		"too-large":           {stream: "data: " + strings.Repeat("x", maxEventSize) + "\n\n", err: errEventTooLarge},
+		"too-large":           {stream: "data: " + strings.Repeat("x", maxSize) + "\n\n", err: ErrTooLarge},
 		"comments":            {stream: ": a\n\nid: 1\n: b\ndata: a\n\n\n\n:c\n\nid: 2\n\n: d\n\n", events: []string{": a\n\nid: 1\n: b\ndata: a\n\n", "\n\n:c\n\nid: 2\n\n"}, ids: []string{"1", "2"}, err: io.EOF},
 		"comments-only":       {stream: ": a\n\n\n: b\n", err: io.EOF},
 		"ends-within-id":      {stream: ": a\n\nid: 1", err: io.ErrUnexpectedEOF},
-		"long-line-of-an-id":  {stream: "data: " + strings.Repeat("x", eventBufferSize-6) + "id:9\nid: 1\n\n", events: []string{"data: " + strings.Repeat("x", eventBufferSize-6) + "id:9\nid: 1\n\n"}, ids: []string{"1"}, err: io.EOF},
-		"endless-blank-lines": {stream: strings.Repeat("\n", maxEventSize+1), err: errEventTooLarge},
-		"endless-comments":    {stream: strings.Repeat(": x\n\n", maxEventSize/5+1), err: errEventTooLarge},
-		"too-many-lines":      {stream: strings.Repeat("data: x\n", maxEventSize/8+1) + "\n", err: errEventTooLarge},
+		"long-line-of-an-id":  {stream: "data: " + strings.Repeat("x", bufferSize-6) + "id:9\nid: 1\n\n", events: []string{"data: " + strings.Repeat("x", bufferSize-6) + "id:9\nid: 1\n\n"}, ids: []string{"1"}, err: io.EOF},
+		"endless-blank-lines": {stream: strings.Repeat("\n", maxSize+1), err: ErrTooLarge},
+		"endless-comments":    {stream: strings.Repeat(": x\n\n", maxSize/5+1), err: ErrTooLarge},
+		"too-many-lines":      {stream: strings.Repeat("data: x\n", maxSize/8+1) + "\n", err: ErrTooLarge},
 	}
 	readers := map[string]func(io.Reader) io.Reader{"whole": func(r io.Reader) io.Reader { return r }, "byte-by-byte": iotest.OneByteReader}
 	for name, test := range cases {
 		for readerName, wrap := range readers {
 			t.Run(name+"/"+readerName, func(t *testing.T) {
 				c := quicktest.New(t)
-				reader := newEventReader(wrap(strings.NewReader(test.stream)))
+				reader := NewReader(wrap(strings.NewReader(test.stream)))
 				var events, ids []string
 				var err error
 				for err == nil {
-					var ev event
-					if ev, err = reader.next(); err == nil {
-						events, ids = append(events, string(ev.raw)), append(ids, ev.id)
+					var ev Event
+					if ev, err = reader.Next(); err == nil {
+						events, ids = append(events, string(ev.Raw)), append(ids, ev.ID)
 					}
 				}
 				c.Assert(err, quicktest.Equals, test.err)
@@ -72,7 +72,7 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			quicktest.Assert(t, isNextEvent(test.lastID, test.id), quicktest.Equals, test.want)
+			quicktest.Assert(t, Follows(test.lastID, test.id), quicktest.Equals, test.want)
 		})
 	}
 }
--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -9,6 +9,7 @@
 	"bramleywharf.example/core/flow"
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/entry/chain"
+	"bramleywharf.example/entry/event"
 	"bramleywharf.example/entry/link"
 	"bramleywharf.example/entry/picker"
 	"bramleywharf.example/entry/send"
@@ -175,17 +176,17 @@
 // relayEvents delivers whole events to the caller until the response ends.
 func (a *attempt) relayEvents(ctx context.Context, head chain.Head) outcome {
 	s := a.stream
-	reader := newEventReader(a.reply)
+	reader := event.NewReader(a.reply)
 	first := true
 	for {
-		e, err := reader.next()
+		e, err := reader.Next()
 		switch {
 		case err == io.EOF && s.headSent.Load():
 			return completed{}
 		case err != nil:
 			return interruptedBy(ctx, err)
-		case !isNextEvent(s.lastEventID, e.id):
-			return interrupted{cause: fmt.Sprintf("event %s does not follow event %s", e.id, s.lastEventID), endedBy: chain.EndedByTarget}
+		case !event.Follows(s.lastEventID, e.ID):
+			return interrupted{cause: fmt.Sprintf("event %s does not follow event %s", e.ID, s.lastEventID), endedBy: chain.EndedByTarget}
 		}
 		a.monitor.recordEvent()
 		if first {
@@ -229,14 +230,14 @@
 
 // deliver sends one event to the caller, after the head of the response if that was not sent yet. The pause before
 // the first event of an attempt says nothing about the pace of the engine and does not change its estimate.
-func (s *stream) deliver(head chain.Head, e event) error {
+func (s *stream) deliver(head chain.Head, e event.Event) error {
 	if !s.headSent.Load() {
 		if err := s.request.Outlet.Begin(head); err != nil {
 			return err
 		}
 		s.headSent.Store(true)
 	}
-	if err := s.request.Outlet.Event(e.raw); err != nil {
+	if err := s.request.Outlet.Event(e.Raw); err != nil {
 		return err
 	}
 	now := time.Now()
@@ -253,8 +254,8 @@
 	}
 	s.lastEventAt, s.attemptDelivered = now, true
 	s.eventCount++
-	if e.id != "" {
-		s.lastEventID = e.id
+	if e.ID != "" {
+		s.lastEventID = e.ID
 	}
 	return nil
 }
