flight: a stream moves for silence only when another target can take it

What callers saw: a stream ended before its last event (connection closed), or ended in 502 or 504 before its first, although its target was sound and only fell silent for a second or so. Cause: the monitor cancelled the attempt after some 500 ms of silence, a failed probe or a report before it was known that the stream could go on: then the attempts were used up, the bound on retries was reached, or no other target was left. With no other target the stream was even sent to the same one again. Class: what is in hand is given up before its replacement is certain. Ruled out: the read deadline of bodies is reset after the body, and net/http resets the write deadline of events between requests.

--- a/core/retry/doc.go
+++ b/core/retry/doc.go
@@ -1,4 +1,5 @@
-// Package retry bounds how often requests are sent again.
+// Package retry bounds how often requests are sent again, and decides whether one
+// whose target is silent moves to another.
 //
 // Each instance keeps to its own share of the bound, a ratio of the requests
 // that it received recently, so that the bound holds for all instances without
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -78,6 +78,18 @@
 	return w, true
 }
 
+// WithoutRetry returns the window without the newest of its retries, one that was counted but not sent.
+func (w Window) WithoutRetry(now time.Duration) Window {
+	w = w.advancedTo(now)
+	for age := range int64(windowSeconds) {
+		if second := w.second - age; second >= 0 && w.retries[second%windowSeconds] > 0 {
+			w.retries[second%windowSeconds]--
+			return w
+		}
+	}
+	return w
+}
+
 // advancedTo returns the window moved forward to a time on the monotonic clock.
 func (w Window) advancedTo(now time.Duration) Window {
 	second := int64(now / time.Second)
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -77,3 +77,31 @@
 		})
 	}
 }
+
+func TestWithoutRetry(t *testing.T) {
+	bound := Bound{Slack: 3}
+	cases := map[string]struct {
+		retries  int
+		returned int
+		delay    time.Duration // between the retries and their return
+		want     int           // number of retries left
+	}{
+		"same-second":         {2, 1, 0, 2},
+		"later-second":        {2, 1, 4 * time.Second, 2},
+		"none-to-return":      {0, 1, 0, 3},
+		"more-than-there-are": {1, 3, 0, 3},
+		"after-the-window":    {2, 1, time.Minute, 3},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			var w Window
+			for range test.retries {
+				w, _ = w.WithRetry(time.Minute, bound)
+			}
+			for range test.returned {
+				w = w.WithoutRetry(time.Minute + test.delay)
+			}
+			quicktest.Assert(t, w.RetriesLeft(time.Minute+test.delay, bound), quicktest.Equals, test.want)
+		})
+	}
+}
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -49,6 +49,7 @@
 	lastEventID       string          // id of the last event that the caller has
 	headSent          atomic.Bool     // whether the caller has the head of the response
 	mayHaveRun        bool            // whether a target may have run the request
+	hasReservedRetry  bool            // whether a retry is reserved; set by the monitor before it ends the attempt
 	endedBy           chain.Ending    // what ended the last interrupted attempt, or empty
 	failedResponse    *chain.Passed   // a target's error response, passed on if no other attempt succeeds
 	replica           atomic.Pointer[replica]
@@ -116,6 +117,7 @@
 func (s *stream) run(ctx context.Context) chain.Answer {
 	s.sender.Request(s.service)
 	defer s.freeReplica(ctx)
+	defer s.returnRetry()
 	for {
 		pick, source, ok := s.chooseTarget(ctx)
 		if !ok {
@@ -227,11 +229,32 @@
 	pick.Failed()
 }
 
+// reserveRetry reserves a retry until takeRetry uses it, unless the bound on retries is reached.
+func (s *stream) reserveRetry() bool {
+	s.hasReservedRetry = s.hasReservedRetry || s.sender.Repeat(s.service)
+	return s.hasReservedRetry
+}
+
+// takeRetry uses the reserved retry or, if there is none, one within the bound. It returns false if the bound is reached.
+func (s *stream) takeRetry() bool {
+	ok := s.reserveRetry()
+	s.hasReservedRetry = false
+	return ok
+}
+
+// returnRetry gives back a retry that was reserved and not used.
+func (s *stream) returnRetry() {
+	if s.hasReservedRetry {
+		s.hasReservedRetry = false
+		s.sender.Unrepeat(s.service)
+	}
+}
+
 // retryOrFinish returns nil and false if the stream may go on at another target, otherwise its final answer and true.
 func (s *stream) retryOrFinish(result outcome) (chain.Answer, bool) {
 	if r, ok := result.(notRun); ok && (!r.received || r.misdirected) {
 		s.unsentCount++
-		if s.unsentCount <= maxUnsent && (!r.misdirected || s.sender.Repeat(s.service)) {
+		if s.unsentCount <= maxUnsent && (!r.misdirected || s.takeRetry()) {
 			return nil, false
 		}
 	}
@@ -241,7 +264,7 @@
 		reason = "its target failed and it may not be resumed"
 	case s.sendCount >= s.call.Route.MaxAttempts:
 		reason = "its attempts are used up"
-	case !s.sender.Repeat(s.service):
+	case !s.takeRetry():
 		reason = "the retry bound is reached"
 	default:
 		return nil, false
--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -177,6 +177,17 @@
 	return ok
 }
 
+// HasSound reports whether a service has a target that takes new requests, is not suspect and is not avoided.
+func (p *Picker) HasSound(want Want) bool {
+	now := time.Now()
+	for _, target := range p.targetTable.Load().available[want.Service] {
+		if !want.Avoid[target.Name] && !target.state.healthStatus.Load().IsSuspect(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Sound picks a given target for a stream if IsSound holds for it.
 func (p *Picker) Sound(target site.Target, want Want) (*Pick, bool) {
 	current, ok := p.soundEntry(target)
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -125,6 +125,7 @@
 	Rereads  *metrics.Counter
 	Severed  *metrics.Counter
 	Silences *metrics.Counter
+	Kept     *metrics.Counter
 	Endings  map[chain.Ending]*metrics.Counter // Endings counts interrupted attempts of streams by what ended them.
 	First    *metrics.Histogram
 	Pause    *metrics.Histogram
@@ -154,6 +155,7 @@
 			Rereads:  set.GetOrCreateCounter(`bramleywharf_streams_resumed_total{from="prompt"}`),
 			Severed:  set.GetOrCreateCounter("bramleywharf_streams_severed_total"),
 			Silences: set.GetOrCreateCounter("bramleywharf_streams_silent_total"),
+			Kept:     set.GetOrCreateCounter("bramleywharf_streams_kept_total"),
 			Endings:  endings,
 			First:    set.GetOrCreateHistogram("bramleywharf_first_event_seconds"),
 			Pause:    set.GetOrCreateHistogram("bramleywharf_event_pause_seconds"),
@@ -191,6 +193,13 @@
 	return ok
 }
 
+// Unrepeat takes back one retry that Repeat counted and that was not sent.
+func (s *Sender) Unrepeat(service string) {
+	cell.TryUpdate(s.retryWindow(service), func(w retry.Window) (retry.Window, bool) {
+		return w.WithoutRetry(time.Since(s.startedAt)), true
+	})
+}
+
 // recentUsage returns the requests and retries that this instance recently sent to each service.
 func (s *Sender) recentUsage() []wire.Usage {
 	var recentUsage []wire.Usage
