pass: a slow idempotent request keeps its first target until another has taken it

What callers saw: 502 for an idempotent request whose first target was slow but sound, when the second refused it, failed or broke off, when no retry was left, or when there was no second target; a 500 of the second target in one case. Cause: the attempt was cut after 150 ms or eight mean latencies, and its answer thrown away, before it was known that another target would answer. Class: what is in hand is given up before its replacement is certain. Change: attempts run side by side for 250 ms at most. The second starts as early as before, but only if retry.Decide finds attempts, a sound target and a retry; if the second fails within that time, the first is waited for again. The first answer that is no failure counts. Two are open at a time, and a third ends the first. Evidence: TestSlowAnswerWithoutAlternativeIsKept, five of five cases fail before (502, 502, 502, 502, 500), all pass after. TestSlowAttemptIsEnded checks that the first attempt ends within 400 ms of the start of the second.

--- /dev/null
+++ b/entry/pass/attempt.go
@@ -0,0 +1,106 @@
+package pass
+
+import (
+	"context"
+	"time"
+
+	"bramleywharf.example/entry/chain"
+	"bramleywharf.example/entry/link"
+	"bramleywharf.example/entry/picker"
+	"bramleywharf.example/entry/send"
+	"github.com/pkg/errors"
+)
+
+// errSlow ends an attempt that was given up for one at another target.
+var errSlow = errors.New("no answer in time; another target has the request")
+
+// outcome is the sealed set of results of one attempt: answered, notRun, notSent and unconfirmed.
+type outcome interface {
+	isOutcome()
+}
+
+// answered means that a target ran the request and returned a whole response.
+type answered struct {
+	response chain.Passed
+}
+
+// notRun means that a target refused the request without running it.
+type notRun struct {
+	status      int
+	misdirected bool // another target has the address and refused; the intended one has ended
+}
+
+// notSent means that the target never received the request.
+type notSent struct {
+	err error
+}
+
+// unconfirmed means that the target may have run the request but returned no valid response.
+type unconfirmed struct {
+	err error
+}
+
+func (answered) isOutcome()    {}
+func (notRun) isOutcome()      {}
+func (notSent) isOutcome()     {}
+func (unconfirmed) isOutcome() {}
+
+// attempt is one send of a request to a target.
+type attempt struct {
+	pick     *picker.Pick
+	isRepeat bool // whether a retry was counted for the attempt
+	reported bool // whether the picker knows that the target failed the request
+	cancel   context.CancelCauseFunc
+	done     chan outcome // receives the outcome
+}
+
+// newAttempt returns an attempt, and the function that sends its message and waits for the outcome.
+func newAttempt(ctx context.Context, s *send.Sender, call chain.Call, pick *picker.Pick, message link.Request) (a *attempt, exchange func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	a = &attempt{pick: pick, cancel: cancel, done: make(chan outcome, 1)}
+	s.Counts.Sends.Inc()
+	return a, func() { a.done <- a.exchange(ctx, s, call, message) }
+}
+
+// outcomes returns the channel that receives the attempt's outcome, or nil for no attempt.
+func (a *attempt) outcomes() <-chan outcome {
+	if a == nil {
+		return nil
+	}
+	return a.done
+}
+
+// exchange sends the message and returns the outcome.
+func (a *attempt) exchange(ctx context.Context, s *send.Sender, call chain.Call, message link.Request) outcome {
+	startedAt := time.Now()
+	reply, body, err := s.Link.Exchange(ctx, message)
+	var notSentErr *link.NotSentError
+	if errors.As(err, &notSentErr) {
+		s.Counts.Unsent.Inc()
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			a.pick.Lost(err.Error())
+		}
+		return notSent{err: err}
+	}
+	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errSlow) {
+		return unconfirmed{err: cause}
+	}
+	if err != nil {
+		return unconfirmed{err: err}
+	}
+	status := reply.Status()
+	switch v := s.Dialect.Judge(status, reply.Header()).(type) {
+	case send.NotRun:
+		if v.Misdirected {
+			s.Misdirected(ctx, call, a.pick, v.Holder)
+		}
+		return notRun{status: status, misdirected: v.Misdirected}
+	case send.Signed:
+		if status < 500 {
+			a.pick.Succeeded(time.Since(startedAt))
+		}
+		return answered{response: chain.Passed{Head: chain.Head{Status: status, Header: s.Dialect.Response(reply.Header())}, Body: body}}
+	default:
+		return unconfirmed{err: errors.Errorf("response with status %d has no signature", status)}
+	}
+}
--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"bramleywharf.example/core/deny"
+	"bramleywharf.example/core/retry"
 	"bramleywharf.example/entry/chain"
-	"bramleywharf.example/entry/link"
 	"bramleywharf.example/entry/picker"
 	"bramleywharf.example/entry/send"
 	"github.com/apex/log"
@@ -23,53 +23,31 @@
 	// the slowest answers of healthy targets take about 110 ms.
 	minAttemptTimeout    = 150 * time.Millisecond
 	attemptTimeoutFactor = 8 // attemptTimeoutFactor is the wait for an answer in multiples of the target's mean latency.
+	// overlapTimeout is how long a slow attempt stays open after the request was sent to another target; full targets
+	// refuse a request at once.
+	overlapTimeout = 250 * time.Millisecond
+	// moveCheckInterval is the time between two checks of whether a slow request can be sent to another target.
+	moveCheckInterval = 100 * time.Millisecond
 )
 
 // unaryCall is a request with a single response, as opposed to a stream.
 type unaryCall struct {
-	sender         *send.Sender
-	call           chain.Call
-	request        chain.Forward
-	idempotent     bool
-	service        string
-	avoidedTargets map[string]bool // names of the targets that were tried
-	sendCount      int             // attempts whose target may have received the request
-	unsentCount    int             // attempts that did not reach the intended target
-	mayHaveRun     bool            // whether a target may have run the request without a valid answer
-	failedResponse *chain.Passed   // a target's error response, passed on if no other attempt succeeds
+	sender           *send.Sender
+	call             chain.Call
+	request          chain.Forward
+	idempotent       bool
+	service          string
+	avoidedTargets   map[string]bool  // names of the targets that were tried
+	sendCount        int              // attempts whose target may have received the request
+	unsentCount      int              // attempts that did not reach the intended target
+	current, former  *attempt         // the newest open attempt, and the one before it while that is still open
+	patience         <-chan time.Time // fires when another target may be tried; nil if none may
+	overlap          <-chan time.Time // fires when the former attempt is given up; nil without one
+	hasReservedRetry bool             // whether a retry is counted for the next attempt
+	mayHaveRun       bool             // whether a target may have run the request without a valid answer
+	failedResponse   *chain.Passed    // a target's error response, passed on if no other attempt succeeds
 }
 
-// outcome is the sealed set of results of one attempt: answered, notRun, notSent and unconfirmed.
-type outcome interface {
-	isOutcome()
-}
-
-// answered means that a target ran the request and returned a whole response.
-type answered struct {
-	response chain.Passed
-}
-
-// notRun means that a target refused the request without running it.
-type notRun struct {
-	status      int
-	misdirected bool // another target has the address and refused; the intended one has ended
-}
-
-// notSent means that the target never received the request.
-type notSent struct {
-	err error
-}
-
-// unconfirmed means that the target may have run the request but returned no valid response.
-type unconfirmed struct {
-	err error
-}
-
-func (answered) isOutcome()    {}
-func (notRun) isOutcome()      {}
-func (notSent) isOutcome()     {}
-func (unconfirmed) isOutcome() {}
-
 // newUnaryCall returns a call whose request has not been sent.
 func newUnaryCall(s *send.Sender, c chain.Call, f chain.Forward, idempotent bool) *unaryCall {
 	return &unaryCall{
@@ -85,39 +63,177 @@
 // run sends the request to one target after another until it has an answer or may not be sent again.
 func (u *unaryCall) run(ctx context.Context) chain.Answer {
 	u.sender.Request(u.service)
+	defer u.close()
 	for {
 		pick, ok := u.sender.Picker.Plain(picker.Want{Service: u.service, Avoid: u.avoidedTargets})
-		if !ok {
+		switch {
+		case ok:
+			u.start(ctx, pick)
+		case u.current == nil:
 			return u.finalAnswer("no target of the service is left")
+		default:
+			u.patience = time.After(moveCheckInterval)
 		}
-		result := u.send(ctx, pick)
-		pick.Release()
-		u.avoidedTargets[pick.Target.Name] = true
-		if !errors.Is(ctx.Err(), context.Canceled) {
-			u.recordFailure(pick, result)
-		}
-		if answer, done := u.handleOutcome(ctx, result); done {
+		if answer, done := u.await(ctx); done {
 			return answer
 		}
 	}
 }
 
+// start sends the request to a target. An attempt that is still open stays so for overlapTimeout, in which the new
+// target can refuse the request.
+func (u *unaryCall) start(ctx context.Context, pick *picker.Pick) {
+	u.avoidedTargets[pick.Target.Name] = true
+	if u.former != nil {
+		u.former.cancel(errSlow)
+		u.settle(ctx, u.former, <-u.former.done)
+	}
+	left := send.Left(u.call, u.request)
+	message := u.sender.Outgoing(send.Send{Call: u.call, Target: pick.Target, Left: left}, u.request, !u.idempotent)
+	next, exchange := newAttempt(ctx, u.sender, u.call, pick, message)
+	next.isRepeat, u.hasReservedRetry = u.hasReservedRetry, false
+	u.former, u.current = u.current, next
+	u.patience, u.overlap = nil, nil
+	if u.former == nil && !u.MayRetry() {
+		exchange()
+		return
+	}
+	go exchange()
+	if u.former != nil {
+		u.overlap = time.After(overlapTimeout)
+	}
+	if timeout := u.attemptTimeout(pick); u.MayRetry() && timeout < left {
+		u.patience = time.After(timeout)
+	}
+}
+
+// await waits for the answer. It returns nil and false if the request may go to another target; the open attempts go
+// on meanwhile.
+func (u *unaryCall) await(ctx context.Context) (chain.Answer, bool) {
+	for {
+		select {
+		case result := <-u.former.outcomes():
+			ended := u.former
+			u.former = nil
+			if answer, done := u.handleOutcome(ctx, ended, result); done {
+				return answer, true
+			}
+		case result := <-u.current.outcomes():
+			ended := u.current
+			u.current, u.former = u.former, nil
+			u.overlap = nil
+			if answer, done := u.handleOutcome(ctx, ended, result); done {
+				return answer, true
+			}
+			if u.current == nil {
+				return u.retryOrFinish(result)
+			}
+			u.patience = time.After(0) // The other attempt was slow before, so that a third target may be tried at once.
+		case <-u.overlap:
+			if u.former != nil {
+				u.former.cancel(errSlow)
+			}
+		case <-u.patience:
+			if _, ok := retry.Decide(u).(retry.Move); ok {
+				u.current.pick.Failed()
+				u.current.reported = true
+				return nil, false
+			}
+			u.patience = time.After(moveCheckInterval)
+		}
+	}
+}
+
 // handleOutcome records the result of an attempt. It returns the answer to the caller and true, or nil and false if
-// another attempt follows.
-func (u *unaryCall) handleOutcome(ctx context.Context, result outcome) (chain.Answer, bool) {
+// the result is no answer yet.
+func (u *unaryCall) handleOutcome(ctx context.Context, a *attempt, result outcome) (chain.Answer, bool) {
+	u.settle(ctx, a, result)
+	if r, ok := result.(answered); ok && (!r.response.Failed() || !u.idempotent) {
+		r.response.Sends = u.sendCount + u.unsentCount + u.openCount()
+		return r.response, true
+	}
+	if err := ctx.Err(); err != nil {
+		u.close()
+		return u.expiredAnswer(err), true
+	}
+	return nil, false
+}
+
+// settle counts an attempt that has ended, and records its failure unless the caller has left.
+func (u *unaryCall) settle(ctx context.Context, a *attempt, result outcome) {
+	a.cancel(nil)
+	a.pick.Release()
 	switch r := result.(type) {
-	case answered:
-		if !r.response.Failed() || !u.idempotent {
-			return r.response, true
+	case notSent:
+		u.unsentCount++
+		u.hasReservedRetry = u.hasReservedRetry || a.isRepeat
+	case notRun:
+		if r.misdirected {
+			// The intended target has ended, so it does not count as one that may have received the request.
+			u.unsentCount++
+		} else {
+			u.sendCount++
 		}
-		u.failedResponse = &r.response
 	case unconfirmed:
+		u.sendCount++
 		u.mayHaveRun = true
+	case answered:
+		u.sendCount++
+		if r.response.Failed() {
+			r.response.Sends = u.sendCount + u.unsentCount
+			u.failedResponse = &r.response
+		}
 	}
-	if err := ctx.Err(); err != nil {
-		return u.expiredAnswer(err), true
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		u.recordFailure(a, result)
+	}
+}
+
+// close ends the open attempts and gives back a retry that was not used.
+func (u *unaryCall) close() {
+	for _, a := range []*attempt{u.former, u.current} {
+		if a == nil {
+			continue
+		}
+		a.cancel(nil)
+		if _, ok := (<-a.done).(unconfirmed); ok {
+			u.mayHaveRun = true
+		}
+		a.pick.Release()
+	}
+	u.former, u.current = nil, nil
+	if u.hasReservedRetry {
+		u.hasReservedRetry = false
+		u.sender.Unrepeat(u.service)
 	}
-	return u.retryOrFinish(result)
+}
+
+// openCount returns the number of open attempts.
+func (u *unaryCall) openCount() int {
+	count := 0
+	if u.former != nil {
+		count++
+	}
+	if u.current != nil {
+		count++
+	}
+	return count
+}
+
+// MayRetry reports whether the request may be sent to one more target while the open attempts go on.
+func (u *unaryCall) MayRetry() bool {
+	return u.idempotent && u.sendCount+u.openCount() < u.call.Route.MaxAttempts
+}
+
+// HasAlternative reports whether a target that was not tried can take the request.
+func (u *unaryCall) HasAlternative() bool {
+	return u.sender.Picker.HasSound(picker.Want{Service: u.service, Avoid: u.avoidedTargets})
+}
+
+// Reserve reserves a retry for the next attempt, unless the bound on retries is reached.
+func (u *unaryCall) Reserve() bool {
+	u.hasReservedRetry = u.hasReservedRetry || u.sender.Repeat(u.service)
+	return u.hasReservedRetry
 }
 
 // retryOrFinish returns nil and false if the request may go to another target, otherwise its final answer and true.
@@ -128,7 +244,7 @@
 		}
 		return u.finalAnswer("targets cannot be reached"), true
 	}
-	if r, ok := result.(notRun); ok && r.misdirected && u.unsentCount < maxUnsent && u.sender.Repeat(u.service) {
+	if r, ok := result.(notRun); ok && r.misdirected && u.unsentCount < maxUnsent && u.Reserve() {
 		return nil, false
 	}
 	switch {
@@ -136,7 +252,7 @@
 		return u.finalAnswer("its target failed"), true
 	case u.sendCount >= u.call.Route.MaxAttempts:
 		return u.finalAnswer("its attempts are used up"), true
-	case !u.sender.Repeat(u.service):
+	case !u.Reserve():
 		return u.finalAnswer("the retry bound is reached"), true
 	}
 	return nil, false
@@ -169,79 +285,28 @@
 }
 
 // recordFailure logs an outcome other than answered, and tells the picker if the target failed. Targets that could not
-// be reached are reported by send.
-func (u *unaryCall) recordFailure(pick *picker.Pick, result outcome) {
+// be reached are reported by the
+// attempt.
+func (u *unaryCall) recordFailure(a *attempt, result outcome) {
 	if _, ok := result.(answered); ok {
 		return
 	}
-	fields := log.Fields{"request": u.call.ID, "target": pick.Target.Name, "service": u.service, "sends": u.sendCount}
+	fields := log.Fields{"request": u.call.ID, "target": a.pick.Target.Name, "service": u.service, "sends": u.sendCount}
 	switch r := result.(type) {
 	case notRun:
-		pick.Failed()
+		a.pick.Failed()
 		u.sender.Log.WithFields(fields).WithField("status", r.status).Info("target did not run the request")
 	case notSent:
 		u.sender.Log.WithFields(fields).WithError(r.err).Info("target did not get the request")
 	case unconfirmed:
-		pick.Failed()
-		u.sender.Log.WithFields(fields).WithError(r.err).Info("no valid response; the request may have run")
-	}
-}
-
-// send sends the request to one target.
-func (u *unaryCall) send(ctx context.Context, pick *picker.Pick) outcome {
-	startedAt := time.Now()
-	if timeout := u.attemptTimeout(pick); timeout < send.Left(u.call, u.request) {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, timeout)
-		defer cancel()
-	}
-	message := u.sender.Outgoing(send.Send{Call: u.call, Target: pick.Target, Left: send.Left(u.call, u.request)}, u.request, !u.idempotent)
-	u.sender.Counts.Sends.Inc()
-	reply, body, err := u.sender.Link.Exchange(ctx, message)
-	var notSentErr *link.NotSentError
-	if errors.As(err, &notSentErr) {
-		u.sender.Counts.Unsent.Inc()
-		u.unsentCount++
-		if !errors.Is(ctx.Err(), context.Canceled) {
-			pick.Lost(err.Error())
+		if !a.reported {
+			a.pick.Failed()
 		}
-		return notSent{err: err}
-	}
-	u.sendCount++
-	if err != nil {
-		return unconfirmed{err: err}
+		u.sender.Log.WithFields(fields).WithError(r.err).Info("no valid response; the request may have run")
 	}
-	return u.outcomeOf(ctx, pick, reply, body, time.Since(startedAt))
 }
 
-// attemptTimeout returns how long to wait for one target: all the time left if no other may be tried after it.
+// attemptTimeout returns how long to wait for one target before another may be tried.
 func (u *unaryCall) attemptTimeout(pick *picker.Pick) time.Duration {
-	timeLeft := send.Left(u.call, u.request)
-	if !u.idempotent || u.sendCount+1 >= u.call.Route.MaxAttempts {
-		return timeLeft
-	}
-	return min(timeLeft, max(minAttemptTimeout, attemptTimeoutFactor*pick.Latency()))
-}
-
-// outcomeOf returns the outcome that a whole response stands for, and tells the picker of a successful one.
-func (u *unaryCall) outcomeOf(ctx context.Context, pick *picker.Pick, reply *link.Reply, body []byte, took time.Duration) outcome {
-	status := reply.Status()
-	switch v := u.sender.Dialect.Judge(status, reply.Header()).(type) {
-	case send.NotRun:
-		if v.Misdirected {
-			// The intended target has ended, so it does not count as one that may have received the request.
-			u.sendCount--
-			u.unsentCount++
-			u.sender.Misdirected(ctx, u.call, pick, v.Holder)
-		}
-		return notRun{status: status, misdirected: v.Misdirected}
-	case send.Signed:
-		if status < 500 {
-			pick.Succeeded(took)
-		}
-		head := chain.Head{Status: status, Header: u.sender.Dialect.Response(reply.Header())}
-		return answered{response: chain.Passed{Head: head, Body: body, Sends: u.sendCount + u.unsentCount}}
-	default:
-		return unconfirmed{err: errors.Errorf("response with status %d has no signature", status)}
-	}
+	return max(minAttemptTimeout, attemptTimeoutFactor*pick.Latency())
 }
