relay: an engine that is silent but alive is kept while no other can take over

What callers saw: on the own interface a generation paused for 2 s more and its work was done again, although its engine answered probes and was the only one. Cause: after four probes without a token the attempt was given up and cancelled before it was known that another target could go on. Class: what is in hand is given up before its replacement is certain. Change: such an attempt ends only if another target can take the generation and the recovery policy goes on, or after 10 s without a token. Evidence: TestSilentEngineWithoutAlternativeIsKept, both cases start the generation twice before, once after; the sample of TestGenerationMatrix passes (single, twice, pair, race detector on one processor). The other tests of entry/internal/proof were not run.

--- a/entry/internal/relay/attempt.go
+++ b/entry/internal/relay/attempt.go
@@ -15,6 +15,8 @@
 const (
 	maxProbes           = 4  // maxProbes applies once a token of the attempt was delivered.
 	maxFirstTokenProbes = 60 // maxFirstTokenProbes applies before that, as the request may wait in the engine's queue.
+	// maxLoneSilence replaces both while no other target can take the generation.
+	maxLoneSilence = 10 * time.Second
 )
 
 // attempt is one execution of the generation on an engine, as seen by the goroutine that runs loop.
--- a/entry/internal/relay/recover.go
+++ b/entry/internal/relay/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"bramleywharf.example/core/deny"
@@ -171,7 +172,7 @@
 	if a == nil || time.Now().Before(dueAt) || len(g.events) > 0 {
 		return
 	}
-	if len(g.attempts) > 1 || a.hasExhaustedProbes() {
+	if len(g.attempts) > 1 || a.hasExhaustedProbes() && (g.hasAlternative(a) || time.Since(g.lastDelivery) > maxLoneSilence) {
 		g.failAttempt(a, flow.Dead{})
 		return
 	}
@@ -182,6 +183,17 @@
 	g.handleSignal(a, flow.Silent{})
 }
 
+// hasAlternative reports whether a target other than the attempt's can take the generation after its loss.
+func (g *generation) hasAlternative(a *attempt) bool {
+	if _, abandons := flow.Decide(g.job.Policy, flow.Dead{}, g.lostEngines).(flow.Abandon); abandons {
+		return false
+	}
+	avoided := maps.Clone(g.avoidedTargets)
+	avoided[a.target.Name] = true
+	_, ok := g.relay.picker.Pick(g.job.Spec, avoided)
+	return ok
+}
+
 // handleSignal carries out the recovery step for a signal about an attempt.
 func (g *generation) handleSignal(a *attempt, s flow.Signal) {
 	switch step := flow.Decide(g.job.Policy, s, g.lostEngines).(type) {
