event: after a numbered event only the next number may come

Callers saw: an event without an id in the middle of their stream, with the text of an error, when the stream went on at another target or when its target failed. Cause: Follows compared two numbers only and let an event without a number pass. Class: a check that holds only where both sides are as expected. Change: after a number only the next number follows. The row without-id of TestFollows asked for the opposite and is turned round; it was the fault. Before: TestFollows/without-id and name-after-number, and of TestForeignTextInStream unnumbered-event-after-an-event ("...piece 4\n\nevent: error\ndata: down\n\n" and then piece 5) and next-begins-with-an-error-event fail. After: all pass, with -race.

--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -119,13 +119,19 @@
 	return true
 }
 
-// Follows reports whether the number in an event's id is that of the last one plus 1. It is true if there is no
-// last event or either id is not a number.
+// Follows reports whether an event may come after the one with the last id: if that is a number, only the next number
+// may.
 func Follows(lastID, id string) bool {
-	lastNumber, err := strconv.ParseInt(lastID, 10, 64)
-	if lastID == "" || err != nil {
+	last, ok := number(lastID)
+	if !ok {
 		return true
 	}
-	number, err := strconv.ParseInt(id, 10, 64)
-	return err != nil || number == lastNumber+1
+	next, ok := number(id)
+	return ok && next == last+1
+}
+
+// number returns the number that an id stands for, and whether it is one.
+func number(id string) (int64, bool) {
+	n, err := strconv.ParseInt(id, 10, 64)
+	return n, err == nil
 }
--- a/entry/event/event_test.go
+++ b/entry/event/event_test.go
@@ -70,14 +70,16 @@
 		lastID, id string
 		want       bool
 	}{
-		"no-last-id":     {lastID: "", id: "1", want: true},
-		"next-number":    {lastID: "41", id: "42", want: true},
-		"same-number":    {lastID: "41", id: "41"},
-		"skipped-number": {lastID: "41", id: "43"},
-		"lower-number":   {lastID: "41", id: "1"},
-		"not-numbers":    {lastID: "a", id: "b", want: true},
-		"without-id":     {lastID: "41", id: "", want: true},
-		"after-zero":     {lastID: "0", id: "1", want: true},
+		"no-last-id":        {lastID: "", id: "1", want: true},
+		"next-number":       {lastID: "41", id: "42", want: true},
+		"same-number":       {lastID: "41", id: "41"},
+		"skipped-number":    {lastID: "41", id: "43"},
+		"lower-number":      {lastID: "41", id: "1"},
+		"not-numbers":       {lastID: "a", id: "b", want: true},
+		"without-id":        {lastID: "41", id: ""},
+		"name-after-number": {lastID: "41", id: "b"},
+		"unnumbered":        {lastID: "", id: "", want: true},
+		"after-zero":        {lastID: "0", id: "1", want: true},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
