flight: an answer without an event is the end of a stream only if it says so

Callers saw: a stream that ended as if it were complete, after the piece at which its target had broken off, when the next target answered 200 with no event. Cause: the end of any 200 counted as that of the stream once the caller had the head. An empty body of another type, and a connection that closes after its head, looked like a target that has no more events. Class: the absence of an error taken for success. Change: an answer that resumes a stream and states a type other than that of event streams ends the attempt. One without an event is the end only if it states its type and where its body ends; otherwise the stream goes on elsewhere, or is cut. Ruled out: cutting every stream whose next target has no event. It is right when the target before broke off after its last event; next-has-no-more-events stays complete. Before: next-closes-after-its-head, next-answers-empty-json, next-answers-nothing-untyped, next-sends-comments-only (complete after piece 4) and next-answers-text (piece 5 is the text of an error) of TestForeignTextInStream fail. After: all pass, with -race.

--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"mime"
 	"time"
 
 	"bramleywharf.example/core/flow"
@@ -41,6 +42,8 @@
 	// milliseconds old.
 	reportLag     = 700 * time.Millisecond
 	checkInterval = 40 * time.Millisecond // checkInterval is how often a monitor checks its attempt.
+	// eventStreamType is the media type of streams.
+	eventStreamType = "text/event-stream"
 )
 
 // outcome is the sealed set of ways in which an attempt ends: completed, wholeResponse, notRun, interrupted and
@@ -170,9 +173,25 @@
 		}
 		return wholeResponse{response: chain.Passed{Head: head, Body: body, Sends: s.sendCount + s.unsentCount}}
 	}
+	if mediaType := a.mediaType(); s.headSent.Load() && mediaType != "" && mediaType != eventStreamType {
+		return interrupted{cause: fmt.Sprintf("response to a resumed stream is of type %s", mediaType)}
+	}
 	return a.relayEvents(ctx, head)
 }
 
+// mediaType returns the media type of the response, or an empty text if it states none.
+func (a *attempt) mediaType() string {
+	mediaType, _, _ := mime.ParseMediaType(a.reply.Header().Get("Content-Type"))
+	return mediaType
+}
+
+// isEnd reports whether the end of the response is that of the stream. A response without an event that resumes a
+// stream is taken for its end only if it says so itself: an empty list of events with a stated length.
+func (a *attempt) isEnd() bool {
+	s := a.stream
+	return s.attemptDelivered || s.headSent.Load() && a.reply.Delimited() && a.mediaType() == eventStreamType
+}
+
 // relayEvents delivers whole events to the caller until the response ends.
 func (a *attempt) relayEvents(ctx context.Context, head chain.Head) outcome {
 	s := a.stream
@@ -181,8 +200,10 @@
 	for {
 		e, err := reader.Next()
 		switch {
-		case err == io.EOF && s.headSent.Load():
+		case err == io.EOF && a.isEnd():
 			return completed{}
+		case err == io.EOF:
+			return interrupted{cause: "response ended before its first event"}
 		case err != nil:
 			return interruptedBy(ctx, err)
 		case !event.Follows(s.lastEventID, e.ID):
--- a/entry/link/reply.go
+++ b/entry/link/reply.go
@@ -32,6 +32,11 @@
 	_ = r.conn.Close()
 }
 
+// Delimited reports whether the response tells where its body ends, so that a body that breaks off never looks whole.
+func (r *Reply) Delimited() bool {
+	return r.response.ContentLength >= 0 || len(r.response.TransferEncoding) > 0
+}
+
 // Header returns the headers of the response.
 func (r *Reply) Header() http.Header {
 	return r.response.Header
