flight: a stream whose events have no numbers is not resumed

Callers saw: the first events of a stream a second time, in its middle. Cause: the id of the last event is what a stream is resumed after. Events without an id leave it empty, so the next target got the request as a new one and began at its first event. Class: a missing value read as the start. Change: after an event without a number the stream is cut; the caller decides. Before: not-resumed-without-numbers of TestForeignTextInStream gets "data: a\n\ndata: b\n\ndata: a\n\ndata: b\n\n". After: passes, with -race.

--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -130,6 +130,12 @@
 	return ok && next == last+1
 }
 
+// IsNumber reports whether an id is a number, so that only one event may follow it.
+func IsNumber(id string) bool {
+	_, ok := number(id)
+	return ok
+}
+
 // number returns the number that an id stands for, and whether it is one.
 func number(id string) (int64, bool) {
 	n, err := strconv.ParseInt(id, 10, 64)
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -10,6 +10,7 @@
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/core/wait"
 	"bramleywharf.example/entry/chain"
+	"bramleywharf.example/entry/event"
 	"bramleywharf.example/entry/picker"
 	"bramleywharf.example/entry/send"
 	"github.com/apex/log"
@@ -262,6 +263,8 @@
 	switch {
 	case s.mayHaveRun && !s.policy.Resumable:
 		reason = "its target failed and it may not be resumed"
+	case s.eventCount > 0 && !event.IsNumber(s.lastEventID):
+		reason = "its target failed and its events have no numbers to resume after"
 	case s.sendCount >= s.call.Route.MaxAttempts:
 		reason = "its attempts are used up"
 	case !s.takeRetry():
