flight: a stream goes to a target a second time on a new connection

Callers saw: a stream that may run once only ran at three targets; they could have been told "not run" for it as well. Cause: when all targets have refused a stream, they are tried again with the same id. A target that wrote its earlier refusal once more in front of the new response, on the kept connection, had that copy believed: the echoed id is the right one. The stream went on to the next target while the first one ran it. Class: an id that tells requests apart, not two sends of one request. Ruled out: unary calls that may run once have a new connection for each send; the idempotent ones go to each target once. The check of a kept connection for bytes that wait does not help: the copy comes after it. Not chosen: closing each connection that returned a refusal. Refusals come in numbers under load, and new connections are priced; a second send to one target is rare. Change: a stream remembers the addresses it was sent to, and asks for a new connection for the second send to one of them. On it nothing can be answered but this send. Before: TestRefusalSentTwice/stream-not-resumable has 3 runs, want 1. After: passes, with -race.

--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -106,8 +106,11 @@
 		holder, _ = s.chooseHolder(pick.Target, "")
 		outgoing.Backup = holder.Address
 	}
+	// A kept connection may still return a copy of the response to the same id; a new one cannot.
+	fresh := s.usedAddresses[pick.Target.Address]
+	s.usedAddresses[pick.Target.Address] = true
 	s.sender.Counts.Sends.Inc()
-	reply, err := s.sender.Link.Send(ctx, s.sender.Outgoing(outgoing, s.request, false))
+	reply, err := s.sender.Link.Send(ctx, s.sender.Outgoing(outgoing, s.request, fresh))
 	var notSentErr *link.NotSentError
 	if errors.As(err, &notSentErr) {
 		s.sender.Counts.Unsent.Inc()
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -43,6 +43,7 @@
 	memoryTokens      int             // capacity of one target in tokens, or 0
 	replicaRefreshAge time.Duration   // age at which an ordered replica is ordered again
 	avoidedTargets    map[string]bool // names of the targets that failed an attempt
+	usedAddresses     map[string]bool // addresses that the request was sent to
 	sendCount         int             // attempts whose target may have received the request
 	unsentCount       int             // attempts that did not reach the intended target
 	resumeCount       int             // times the stream went on at another target after its first event
@@ -104,6 +105,7 @@
 		policy:         policy,
 		service:        c.Route.PickService(rand.Float64()),
 		avoidedTargets: make(map[string]bool),
+		usedAddresses:  make(map[string]bool),
 		lastEventID:    f.LastEvent,
 	}
 	if service, ok := c.Site.Service(s.service); ok && service.Engine != nil {
