--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,7 @@
 	go test -fuzz FuzzOpen -fuzztime $(FUZZ_TIME) ./core/cursor
 	go test -fuzz FuzzDecode -fuzztime $(FUZZ_TIME) ./core/wire
 	go test -fuzz FuzzParse -fuzztime $(FUZZ_TIME) ./core/decl
+	go test -fuzz FuzzItems -fuzztime $(FUZZ_TIME) ./core/loose
 	go test -fuzz FuzzComplete -fuzztime $(FUZZ_TIME) ./entry/internal/front
 
 # Compares the resume latency and the extra engine work of each recovery policy with those of a plain restart, in ROUNDS
