site, cloud: an entry that describes no usable target is told at the store's border

What operators could see: a target at port 0, at no address of one server, under a name that no header can hold, or with slots or a start that no integer holds; and instances that follow the store through peers stop following it, while a few entries are large. Cause: (1) only the form of the address, the service and the state were checked. Class: trust in what others write; one item takes the room of all.

--- a/core/site/target.go
+++ b/core/site/target.go
@@ -1,9 +1,12 @@
 package site
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Target is one server of a service, as it declares itself.
@@ -18,6 +21,36 @@
 	Revision uint64
 }
 
+// Bounds on what a target may declare.
+const (
+	maxTextLength = 253     // of its name, service and failure domain, in bytes
+	maxSlots      = 1 << 20 // requests at a time
+)
+
+// Check returns an error if no request can be sent to a target that declares itself so.
+func (t Target) Check() error {
+	address, err := netip.ParseAddrPort(t.Address)
+	switch ip := address.Addr(); {
+	case t.Name == "" || len(t.Name) > maxTextLength || strings.ContainsFunc(t.Name, isUnprintable):
+		return errors.New("name is empty, too long or not printable")
+	case t.Service == "" || len(t.Service) > maxTextLength || len(t.Domain) > maxTextLength:
+		return errors.New("service is empty, or service or domain is too long")
+	case err != nil || address.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast():
+		return errors.New("address is not that of a server")
+	case t.Slots < 0 || t.Slots > maxSlots:
+		return errors.Errorf("%d slots", t.Slots)
+	case t.StartID < 0:
+		return errors.Errorf("start %d is negative", t.StartID)
+	default:
+		return nil
+	}
+}
+
+// isUnprintable reports whether a character is not a visible one of ASCII, as names in headers have to be.
+func isUnprintable(r rune) bool {
+	return r <= ' ' || r > '~'
+}
+
 // IsSameStart reports whether t declares the same target as old, at the same address and not restarted since.
 // If old's start is unknown, any start matches.
 func (t Target) IsSameStart(old Target) bool {
