--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -177,7 +177,7 @@
 		return wholeResponse{response: chain.Passed{Head: head, Body: body, Sends: s.sendCount + s.unsentCount}}
 	}
 	if mediaType := a.mediaType(); s.headSent.Load() && mediaType != "" && mediaType != eventStreamType {
-		return interrupted{cause: fmt.Sprintf("response to a resumed stream is of type %s", mediaType)}
+		return interrupted{cause: fmt.Sprintf("response to a resumed stream is of type %s", mediaType), endedBy: chain.EndedByTarget}
 	}
 	return a.relayEvents(ctx, head)
 }
@@ -206,7 +206,7 @@
 		case err == io.EOF && a.isEnd():
 			return completed{}
 		case err == io.EOF:
-			return interrupted{cause: "response ended before its first event"}
+			return interrupted{cause: "response ended before its first event", endedBy: chain.EndedByTarget}
 		case err != nil:
 			return interruptedBy(ctx, err)
 		case !event.Follows(s.lastEventID, e.ID):
