--- a/entry/chain/forward.go
+++ b/entry/chain/forward.go
@@ -12,8 +12,7 @@
 	Deadline  time.Time // Deadline is when the caller stops waiting.
 	Received  time.Time // Received is when the request arrived.
 	LastEvent string    // LastEvent is the id of the last event that the caller has, or empty.
-	Session   string    // Session is the id of the prompt's last part, that of the caller's session, or empty.
-	Prompt    int       // Prompt is the length of the prompt in tokens, or 0.
+	Prompt    Prompt    // Prompt lists the parts of the prompt as the caller declares them.
 	Outlet    Outlet
 }
 
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -162,11 +162,11 @@
 
 // want returns the criteria by which the picker chooses a target.
 func (s *stream) want() picker.Want {
-	session := s.request.Session
+	session := s.request.Prompt.Session()
 	if session == "" {
 		session = s.call.ID
 	}
-	return picker.Want{Service: s.service, Session: session, Prompt: s.request.Prompt, Memory: s.memoryTokens, Avoid: s.avoidedTargets}
+	return picker.Want{Service: s.service, Session: session, Prompt: s.request.Prompt.Tokens(), Memory: s.memoryTokens, Avoid: s.avoidedTargets}
 }
 
 // handleOutcome records how an attempt ended. It returns the answer to the caller and true, or nil and false if
--- a/entry/flight/guard.go
+++ b/entry/flight/guard.go
@@ -50,7 +50,7 @@
 		stream:       s,
 		pick:         pick,
 		fromReplica:  fromReplica,
-		promptTokens: s.request.Prompt,
+		promptTokens: s.request.Prompt.Tokens(),
 		mayRetry:     s.sendCount+1 < s.call.Route.MaxAttempts,
 		startedAt:    time.Now(),
 		sender:       s.sender,
