flight: the log names the parts of a stream lost as its answer began

Engines were lost one after the other as they began to answer requests of one kind, and no line said what these requests had in common. The line of a lost stream now names the shared parts of its prompt when the target had begun its answer and sent no second event.

--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -72,6 +72,7 @@
 type interrupted struct {
 	cause   string
 	endedBy chain.Ending
+	atBegin bool // the target had begun its answer and sent at most one whole event
 }
 
 // callerGone means that the caller no longer takes events.
@@ -138,7 +139,7 @@
 
 // interruptedBy returns the outcome of an attempt whose connection ended with err. The cause is that of the context if
 // it has ended.
-func interruptedBy(ctx context.Context, err error) outcome {
+func interruptedBy(ctx context.Context, err error) interrupted {
 	cause := context.Cause(ctx)
 	switch {
 	case cause == nil:
@@ -199,8 +200,7 @@
 func (a *attempt) relayEvents(ctx context.Context, head chain.Head) outcome {
 	s := a.stream
 	reader := event.NewReader(a.reply)
-	first := true
-	for {
+	for received := 0; ; received++ {
 		e, err := reader.Next()
 		switch {
 		case err == io.EOF && a.isEnd():
@@ -208,13 +208,14 @@
 		case err == io.EOF:
 			return interrupted{cause: "response ended before its first event", endedBy: chain.EndedByTarget}
 		case err != nil:
-			return interruptedBy(ctx, err)
+			end := interruptedBy(ctx, err)
+			end.atBegin = received < 2
+			return end
 		case !event.Follows(s.lastEventID, e.ID):
 			return interrupted{cause: fmt.Sprintf("event %s does not follow event %s", e.ID, s.lastEventID), endedBy: chain.EndedByTarget}
 		}
 		a.monitor.recordEvent()
-		if first {
-			first = false
+		if received == 0 {
 			a.pick.Read()
 			a.pick.Heard()
 			s.countResume(a.source)
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -329,6 +330,9 @@
 			fields["silence-ms"] = time.Since(s.lastEventAt).Milliseconds()
 		}
 		fields["ended-by"] = string(r.endedBy)
+		if r.atBegin {
+			fields["parts"] = strings.Join(s.request.Prompt.Shared(), ",")
+		}
 		s.sender.Log.WithFields(fields).WithField("cause", r.cause).Info("stream ended before its last event")
 	case wholeResponse:
 		s.sender.Log.WithFields(fields).WithField("status", r.response.Head.Status).Info("target answered without a stream")
