taint: which parts of prompts crash targets

Targets are lost one after the other as they begin to answer requests that have a part in common. The book of losses decides which part that is: three requests lost at three moments, none with the part answered since. An answer excuses the losses of all parts of its request. Parts that all lost requests have in common block a request that has all of them, so that a sound request with one of them goes on and tells them apart. A failure domain that is lost at once counts as one moment.

--- /dev/null
+++ b/core/taint/taint.go
@@ -0,0 +1,264 @@
+package taint
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// minRequests is the number of different requests with a part that have to be lost before it is blocked.
+	minRequests = 3
+	// minMoments is the number of different moments at which they have to be lost, since a failure domain that is lost
+	// ends many requests at once.
+	minMoments = 3
+	// momentLength is the time within which losses count as one moment.
+	momentLength = 500 * time.Millisecond
+	// lossTTL is the age at which a loss no longer counts. Refused requests are no evidence, so a part that is blocked
+	// is tried again after this time.
+	lossTTL = 5 * time.Minute
+	// maxParts and maxLosses bound the book.
+	maxParts  = 48
+	maxLosses = 8
+)
+
+// LossID identifies a loss on all instances.
+type LossID struct {
+	Target  uint64 // Target is a hash of the target's start.
+	Request uint64 // Request is a hash of the request's id.
+}
+
+// Loss is the loss of a target that had begun to answer a request with a part.
+type Loss struct {
+	ID      LossID
+	At      time.Time
+	Excused bool // Excused tells that a request with the part was answered since.
+}
+
+// Book holds the losses of parts. It is immutable; the zero value is empty.
+type Book struct {
+	parts map[string][]Loss // parts maps the ids of parts to their losses, in the order of their times.
+}
+
+// Finding tells why requests are blocked: their prompts have all of Parts.
+type Finding struct {
+	Parts    []string // Parts holds one part, or several that all lost requests have in common.
+	Losses   int      // Losses is the number of targets that were lost.
+	Requests int      // Requests is the number of requests at which they were lost.
+}
+
+// Len returns the number of parts with losses.
+func (b Book) Len() int {
+	return len(b.parts)
+}
+
+// Digest identifies the losses of the book, whatever their times; it is 0 if there are none.
+func (b Book) Digest() uint64 {
+	digest := uint64(0)
+	for part, losses := range b.parts {
+		for _, l := range losses {
+			h := fnv.New64a()
+			_, _ = fmt.Fprint(h, part, l.ID.Target, " ", l.ID.Request, l.Excused)
+			digest ^= h.Sum64()
+		}
+	}
+	return digest
+}
+
+// All returns the losses of each part; the caller must not modify them.
+func (b Book) All() map[string][]Loss {
+	return b.parts
+}
+
+// WithLoss returns the book with one more loss for each of some parts.
+func (b Book) WithLoss(parts []string, loss Loss) Book {
+	next := Book{parts: make(map[string][]Loss, len(parts))}
+	for _, part := range parts {
+		next.parts[part] = []Loss{loss}
+	}
+	return b.WithBook(next)
+}
+
+// HasOpen reports whether WithAnswer would change the book.
+func (b Book) HasOpen(parts []string) bool {
+	return slices.ContainsFunc(parts, func(part string) bool {
+		return slices.ContainsFunc(b.parts[part], func(l Loss) bool { return !l.Excused })
+	})
+}
+
+// WithAnswer returns the book after a target went on to answer a request with some parts, which excuses their losses
+// so far.
+func (b Book) WithAnswer(parts []string) Book {
+	next := Book{parts: maps.Clone(b.parts)}
+	for _, part := range parts {
+		losses := slices.Clone(next.parts[part])
+		for i := range losses {
+			losses[i].Excused = true
+		}
+		if len(losses) > 0 {
+			next.parts[part] = losses
+		}
+	}
+	return next
+}
+
+// WithBook returns the book with the losses of another one.
+func (b Book) WithBook(other Book) Book {
+	if len(other.parts) == 0 {
+		return b
+	}
+	next := Book{parts: make(map[string][]Loss, len(b.parts)+len(other.parts))}
+	maps.Copy(next.parts, b.parts)
+	for part, losses := range other.parts {
+		next.parts[part] = mergeLosses(next.parts[part], losses)
+	}
+	return next.bounded()
+}
+
+// Without returns the book without the losses that no longer count at a time.
+func (b Book) Without(now time.Time) Book {
+	next := Book{parts: make(map[string][]Loss, len(b.parts))}
+	for part, losses := range b.parts {
+		kept := slices.DeleteFunc(slices.Clone(losses), func(l Loss) bool { return now.Sub(l.At) > lossTTL })
+		if len(kept) > 0 {
+			next.parts[part] = kept
+		}
+	}
+	return next
+}
+
+// Blocked reports whether a request with some parts is blocked. Parts that the lost requests have in common block a
+// request that has all of them. One that has some of them goes on, since the outcome tells which part is to blame.
+func (b Book) Blocked(parts []string, now time.Time) (Finding, bool) {
+	for _, part := range parts {
+		f, ok := b.finding(part, now)
+		if !ok || b.isExplained(part, f, now) {
+			continue
+		}
+		f.Parts = b.inseparable(part)
+		if !slices.ContainsFunc(f.Parts, func(p string) bool { return !slices.Contains(parts, p) }) {
+			return f, true
+		}
+	}
+	return Finding{}, false
+}
+
+// Findings returns what requests are blocked for.
+func (b Book) Findings(now time.Time) []Finding {
+	var findings []Finding
+	for _, part := range slices.Sorted(maps.Keys(b.parts)) {
+		if f, ok := b.Blocked(b.inseparable(part), now); ok && f.Parts[0] == part {
+			findings = append(findings, f)
+		}
+	}
+	return findings
+}
+
+// inseparable returns the parts that have the same open losses as a part, which is one of them, sorted.
+func (b Book) inseparable(part string) []string {
+	var parts []string
+	for other := range b.parts {
+		if b.includes(other, part) && b.includes(part, other) {
+			parts = append(parts, other)
+		}
+	}
+	slices.Sort(parts)
+	return parts
+}
+
+// finding returns what the losses of a part show, and whether that is enough to block it.
+func (b Book) finding(part string, now time.Time) (Finding, bool) {
+	requests := make(map[uint64]bool)
+	moments, losses := 0, 0
+	var momentStart time.Time
+	for _, l := range b.parts[part] {
+		if l.Excused || now.Sub(l.At) > lossTTL {
+			continue
+		}
+		losses++
+		requests[l.ID.Request] = true
+		if moments == 0 || l.At.Sub(momentStart) >= momentLength {
+			moments++
+			momentStart = l.At
+		}
+	}
+	return Finding{Losses: losses, Requests: len(requests)}, len(requests) >= minRequests && moments >= minMoments
+}
+
+// isExplained reports whether another part that is to be blocked was in all lost requests of a part and in more.
+func (b Book) isExplained(part string, own Finding, now time.Time) bool {
+	for other := range b.parts {
+		f, ok := b.finding(other, now)
+		if ok && f.Requests > own.Requests && b.includes(other, part) {
+			return true
+		}
+	}
+	return false
+}
+
+// includes reports whether a part has all losses of another one that are not excused.
+func (b Book) includes(part, other string) bool {
+	for _, l := range b.parts[other] {
+		if !l.Excused && !slices.ContainsFunc(b.parts[part], func(m Loss) bool { return m.ID == l.ID && !m.Excused }) {
+			return false
+		}
+	}
+	return true
+}
+
+// bounded returns the book with the most telling parts only.
+func (b Book) bounded() Book {
+	if len(b.parts) <= maxParts {
+		return b
+	}
+	names := slices.SortedFunc(maps.Keys(b.parts), func(x, y string) int {
+		return cmp.Or(
+			cmp.Compare(openCount(b.parts[y]), openCount(b.parts[x])),
+			newest(b.parts[y]).Compare(newest(b.parts[x])),
+			cmp.Compare(x, y),
+		)
+	})
+	next := Book{parts: make(map[string][]Loss, maxParts)}
+	for _, name := range names[:maxParts] {
+		next.parts[name] = b.parts[name]
+	}
+	return next
+}
+
+// openCount returns the number of losses that are not excused.
+func openCount(losses []Loss) int {
+	count := 0
+	for _, l := range losses {
+		if !l.Excused {
+			count++
+		}
+	}
+	return count
+}
+
+// newest returns the time of the last loss.
+func newest(losses []Loss) time.Time {
+	return losses[len(losses)-1].At
+}
+
+// mergeLosses returns the newest losses of two lists. A loss in both lists has the earlier time of the two, since times
+// that were received include the time of the message.
+func mergeLosses(a, b []Loss) []Loss {
+	byID := make(map[LossID]Loss, len(a)+len(b))
+	for _, l := range slices.Concat(a, b) {
+		if known, ok := byID[l.ID]; ok {
+			l.Excused = l.Excused || known.Excused
+			if known.At.Before(l.At) {
+				l.At = known.At
+			}
+		}
+		byID[l.ID] = l
+	}
+	merged := slices.SortedFunc(maps.Values(byID), func(x, y Loss) int {
+		return cmp.Or(x.At.Compare(y.At), cmp.Compare(x.ID.Target, y.ID.Target), cmp.Compare(x.ID.Request, y.ID.Request))
+	})
+	return merged[max(0, len(merged)-maxLosses):]
+}
