block, feed: instances exchange the losses of parts

Each instance of a fleet sees few of the requests with a part that crashes targets. Pulls carry a digest of the losses; the losses themselves are sent only to a peer whose digest differs, so that a quiet fleet sends nothing more.

--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -152,6 +152,8 @@
 	OwnReport   LoadReport      `cbor:"2,keyasint,omitempty"` // OwnReport is the sender's report.
 	// KnownReports lists the reports of other instances that the sender has.
 	KnownReports []ReportVersion `cbor:"3,keyasint,omitempty"`
+	LossDigest   uint64          `cbor:"5,keyasint,omitempty"` // LossDigest identifies the part losses that the sender has.
+	Losses       []PartLosses    `cbor:"6,keyasint,omitempty"` // Losses holds them if the receiver may lack some.
 }
 
 // ReportVersion identifies the newest report of an instance's load that the sender has.
@@ -164,6 +166,23 @@
 type Updates struct {
 	Kinds   []KindUpdates `cbor:"1,keyasint,omitempty"`
 	Reports []LoadReport  `cbor:"2,keyasint,omitempty"` // Reports holds the reports that the requester lacks.
+	// LossDigest identifies the part losses that the sender has.
+	LossDigest uint64       `cbor:"3,keyasint,omitempty"`
+	Losses     []PartLosses `cbor:"4,keyasint,omitempty"` // Losses holds them if the requester's digest differs.
+}
+
+// PartLosses holds the losses of targets that had begun to answer requests with one part in their prompts.
+type PartLosses struct {
+	Part   string     `cbor:"1,keyasint"`
+	Losses []PartLoss `cbor:"2,keyasint"`
+}
+
+// PartLoss is one of these losses; hashes of the target's name and of the request's id identify it.
+type PartLoss struct {
+	Target  uint64        `cbor:"1,keyasint"`
+	Request uint64        `cbor:"2,keyasint"`
+	Age     time.Duration `cbor:"3,keyasint"`
+	Excused bool          `cbor:"4,keyasint,omitempty"` // Excused tells that a request with the part was answered since.
 }
 
 // LoadReport is an instance's report of what it has running at targets.
--- /dev/null
+++ b/entry/block/block.go
@@ -0,0 +1,122 @@
+package block
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"bramleywharf.example/core/cell"
+	"bramleywharf.example/core/taint"
+	"bramleywharf.example/core/wire"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+)
+
+// Block is the controller of the blocked parts.
+type Block struct {
+	log       log.Interface
+	lossCount *metrics.Counter
+	losses    atomic.Pointer[taint.Book]
+}
+
+// New returns a block without losses.
+func New(logger log.Interface, set *metrics.Set) *Block {
+	b := &Block{log: logger, lossCount: set.GetOrCreateCounter("bramleywharf_part_losses_total")}
+	b.losses.Store(&taint.Book{})
+	set.NewGauge("bramleywharf_parts_blocked", func() float64 { return float64(len(b.losses.Load().Findings(time.Now()))) })
+	return b
+}
+
+// Blocked reports whether a request whose prompt has some shared parts is blocked.
+func (b *Block) Blocked(parts []string) (taint.Finding, bool) {
+	return b.losses.Load().Blocked(parts, time.Now())
+}
+
+// Answered records that a target went on after it had begun to answer a request with some shared parts.
+func (b *Block) Answered(parts []string) {
+	if b.losses.Load().HasOpen(parts) {
+		b.update(func(book taint.Book) taint.Book { return book.WithAnswer(parts) })
+	}
+}
+
+// Lost records that a target crashed when it had begun to answer a request with some shared parts.
+func (b *Block) Lost(parts []string, target, request string) {
+	b.lossCount.Inc()
+	loss := taint.Loss{ID: taint.LossID{Target: hash(target), Request: hash(request)}, At: time.Now()}
+	b.update(func(book taint.Book) taint.Book { return book.WithLoss(parts, loss) })
+}
+
+// Digest identifies the losses that are known; it is 0 if there are none.
+func (b *Block) Digest() uint64 {
+	return b.losses.Load().Digest()
+}
+
+// Losses returns the losses that are known, for another instance.
+func (b *Block) Losses() []wire.PartLosses {
+	all := b.losses.Load().All()
+	list := make([]wire.PartLosses, 0, len(all))
+	for _, part := range slices.Sorted(maps.Keys(all)) {
+		record := wire.PartLosses{Part: part}
+		for _, l := range all[part] {
+			record.Losses = append(record.Losses, wire.PartLoss{Target: l.ID.Target, Request: l.ID.Request, Age: time.Since(l.At), Excused: l.Excused})
+		}
+		list = append(list, record)
+	}
+	return list
+}
+
+// MergeLosses takes losses from another instance.
+func (b *Block) MergeLosses(list []wire.PartLosses) {
+	if len(list) == 0 {
+		return
+	}
+	var received taint.Book
+	now := time.Now()
+	for _, record := range list {
+		for _, l := range record.Losses {
+			received = received.WithLoss([]string{record.Part}, taint.Loss{ID: taint.LossID{Target: l.Target, Request: l.Request}, At: now.Add(-l.Age), Excused: l.Excused})
+		}
+	}
+	b.update(func(book taint.Book) taint.Book { return book.WithBook(received) })
+}
+
+// update replaces the losses by the result of change, without those that have expired, and logs which parts that blocks
+// or releases.
+func (b *Block) update(change func(taint.Book) taint.Book) {
+	now := time.Now()
+	var before, after taint.Book
+	cell.TryUpdate(&b.losses, func(old taint.Book) (taint.Book, bool) {
+		before, after = old, change(old).Without(now)
+		return after, true
+	})
+	was, is := findingsByParts(before, now), findingsByParts(after, now)
+	for parts, f := range is {
+		if _, ok := was[parts]; !ok {
+			b.log.WithFields(log.Fields{"parts": parts, "losses": f.Losses, "requests": f.Requests}).Warn("requests with parts that crash targets are refused")
+		}
+	}
+	for parts := range was {
+		if _, ok := is[parts]; !ok {
+			b.log.WithField("parts", parts).Warn("requests with the parts are no longer refused")
+		}
+	}
+}
+
+// findingsByParts returns the findings of a book by their parts, separated by commas.
+func findingsByParts(book taint.Book, now time.Time) map[string]taint.Finding {
+	findings := make(map[string]taint.Finding)
+	for _, f := range book.Findings(now) {
+		findings[strings.Join(f.Parts, ",")] = f
+	}
+	return findings
+}
+
+// hash returns a hash that is the same on all instances.
+func hash(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
--- /dev/null
+++ b/entry/block/block_test.go
@@ -0,0 +1,68 @@
+package block
+
+import (
+	"testing"
+	"time"
+
+	"bramleywharf.example/core/wire"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/frankban/quicktest"
+)
+
+// TestLossesOfInstancesAddUp checks that instances which have one loss each block the part once they exchanged them,
+// that echoes add nothing, and that an answer releases the part again.
+func TestLossesOfInstancesAddUp(t *testing.T) {
+	c := quicktest.New(t)
+	handler := memory.New()
+	logger := &log.Logger{Handler: handler, Level: log.InfoLevel}
+	blocks := []*Block{New(logger, metrics.NewSet()), New(logger, metrics.NewSet()), New(logger, metrics.NewSet())}
+	parts := []string{"shared", "deadly"}
+	for i, b := range blocks {
+		name := string(rune('a' + i))
+		b.MergeLosses([]wire.PartLosses{
+			{Part: "shared", Losses: []wire.PartLoss{{Target: uint64(i), Request: uint64(i), Age: time.Duration(i) * time.Second}}},
+			{Part: "deadly", Losses: []wire.PartLoss{{Target: uint64(i), Request: uint64(i), Age: time.Duration(i) * time.Second}}},
+		})
+		_, blocked := b.Blocked(parts)
+		c.Assert(blocked, quicktest.IsFalse, quicktest.Commentf("%s", name))
+	}
+	for range 3 {
+		for _, from := range blocks {
+			for _, to := range blocks {
+				to.MergeLosses(from.Losses())
+			}
+		}
+	}
+	for _, b := range blocks {
+		f, blocked := b.Blocked(parts)
+		c.Assert(blocked, quicktest.IsTrue)
+		c.Assert(f.Losses, quicktest.Equals, 3)
+		c.Assert(b.Digest(), quicktest.Equals, blocks[0].Digest())
+		_, blocked = b.Blocked(parts[:1])
+		c.Assert(blocked, quicktest.IsFalse)
+	}
+	c.Assert(handler.Entries[0].Fields, quicktest.DeepEquals, log.Fields{"parts": "deadly,shared", "losses": 3, "requests": 3})
+	before := blocks[0].Digest()
+	blocks[0].Answered(parts)
+	_, blocked := blocks[0].Blocked(parts)
+	c.Assert(blocked, quicktest.IsFalse)
+	c.Assert(blocks[0].Digest() == before, quicktest.IsFalse)
+	blocks[1].MergeLosses(blocks[0].Losses())
+	c.Assert(blocks[1].Digest(), quicktest.Equals, blocks[0].Digest())
+}
+
+// TestLost checks that the losses of one instance at one moment do not block, and that Digest is 0 without losses.
+func TestLost(t *testing.T) {
+	c := quicktest.New(t)
+	b := New(&log.Logger{Handler: memory.New()}, metrics.NewSet())
+	c.Assert(b.Digest(), quicktest.Equals, uint64(0))
+	for _, request := range []string{"r1", "r2", "r3", "r4"} {
+		b.Lost([]string{"p"}, "target-of-"+request, request)
+	}
+	_, blocked := b.Blocked([]string{"p"})
+	c.Assert(blocked, quicktest.IsFalse)
+	c.Assert(b.Losses(), quicktest.HasLen, 1)
+	c.Assert(b.Losses()[0].Losses, quicktest.HasLen, 4)
+}
--- a/entry/feed/spread_test.go
+++ b/entry/feed/spread_test.go
@@ -17,6 +17,7 @@
 	"bramleywharf.example/core/peer"
 	"bramleywharf.example/core/store"
 	"bramleywharf.example/core/wire"
+	"bramleywharf.example/entry/block"
 	"bramleywharf.example/entry/feed"
 	"bramleywharf.example/entry/fleet"
 	"github.com/VictoriaMetrics/metrics"
@@ -120,6 +121,7 @@
 	config  *feed.Feed // config holds what changes rarely and is urgent.
 	targets *feed.Feed
 	swap    *feed.Swap
+	blocks  *block.Block
 	members atomic.Pointer[fleet.Fleet]
 	cut     atomic.Bool // cut loses all messages to and from this instance.
 	sent    sentBytes   // sent holds what the instance sent of the configuration.
@@ -196,7 +198,8 @@
 		set := metrics.NewSet()
 		i.config = feed.New(feed.Settings{Kind: "config", Pace: 200 * time.Millisecond, Urgent: true}, config, logger, set)
 		i.targets = feed.New(feed.Settings{Kind: "targets", Pace: 400 * time.Millisecond}, targets, logger, set)
-		i.swap = feed.NewSwap(i, noLoads{}, logger, set, i.config, i.targets)
+		i.blocks = block.New(logger, set)
+		i.swap = feed.NewSwap(i, noLoads{}, i.blocks, logger, set, i.config, i.targets)
 		t.Cleanup(i.config.Close)
 		t.Cleanup(i.targets.Close)
 	}
--- a/entry/feed/swap.go
+++ b/entry/feed/swap.go
@@ -65,11 +65,22 @@
 	Expect(period time.Duration)
 }
 
-// Swap exchanges the objects of feeds and the load reports of instances with peers.
+// Losses holds the losses of targets that had begun to answer requests with a part in their prompts.
+type Losses interface {
+	// Digest identifies the losses that are known.
+	Digest() uint64
+	// Losses returns them.
+	Losses() []wire.PartLosses
+	// MergeLosses takes losses from a peer.
+	MergeLosses(losses []wire.PartLosses)
+}
+
+// Swap exchanges the objects of feeds, the load reports of instances and the losses of parts with peers.
 type Swap struct {
 	*wait.Loop
 	feeds      []*Feed
 	loads      Loads
+	losses     Losses
 	peers      peer.Client
 	log        log.Interface
 	newerPeers chan string // newerPeers passes on the address of a peer that has a newer revision.
@@ -79,16 +90,18 @@
 	pullCount             int       // pullCount counts the pulls at intervals.
 	fleetSize             int       // fleetSize is the number of live members at the last of these pulls.
 	nearPullAt, farPullAt time.Time // The last pulls from members that reported a newer revision.
+	agreedDigest          uint64    // agreedDigest is that of the losses which a peer last had in common with this instance.
 
 	mu      sync.Mutex
 	failing bool // failing is true while pulls fail, so that each series of failures logs one line.
 }
 
 // NewSwap returns a Swap that answers pulls; it makes its own pulls after Start.
-func NewSwap(peers peer.Client, loads Loads, logger log.Interface, set *metrics.Set, feeds ...*Feed) *Swap {
+func NewSwap(peers peer.Client, loads Loads, losses Losses, logger log.Interface, set *metrics.Set, feeds ...*Feed) *Swap {
 	s := &Swap{
 		feeds:      feeds,
 		loads:      loads,
+		losses:     losses,
 		peers:      peers,
 		log:        logger,
 		newerPeers: make(chan string, 1),
@@ -121,6 +134,10 @@
 		s.loads.Merge([]wire.LoadReport{p.OwnReport})
 		updates.Reports = s.loads.Newer(p.KnownReports)
 	}
+	s.losses.MergeLosses(p.Losses)
+	if updates.LossDigest = s.losses.Digest(); updates.LossDigest != p.LossDigest {
+		updates.Losses = s.losses.Losses()
+	}
 	for _, known := range p.Revisions {
 		for _, f := range s.feeds {
 			if f.Kind() != known.Kind {
@@ -233,6 +250,9 @@
 	for _, f := range s.feeds {
 		request.Revisions = append(request.Revisions, wire.KnownRevision{Kind: f.Kind(), Revision: f.View().Revision()})
 	}
+	if request.LossDigest = s.losses.Digest(); request.LossDigest != s.agreedDigest {
+		request.Losses = s.losses.Losses()
+	}
 	response, err := s.peers.Call(ctx, address, request)
 	s.logPullResult(address, err)
 	updates, ok := response.(wire.Updates)
@@ -240,6 +260,10 @@
 		return false
 	}
 	s.loads.Merge(updates.Reports)
+	s.losses.MergeLosses(updates.Losses)
+	if digest := s.losses.Digest(); digest == updates.LossDigest {
+		s.agreedDigest = digest
+	}
 	for _, p := range updates.Kinds {
 		for _, f := range s.feeds {
 			if f.Kind() == p.Kind {
