flight, filter: requests with a part that crashes targets are refused

Class of fault: a retry that repeats the cause of the failure; nothing was remembered across requests or instances.

Ruled out: counting all lost streams of a target, which would name the parts of ten bystanders a crash. A cut link is none, since the target takes connections or does not answer; neither is a target that drains.

A stream is given up after it has lost two targets that way, and a filter refuses requests with blocked parts: 503, not run, Retry-After of a minute.

Before: TestDeadlyPartIsBlocked fails with "deadly-0 ran at 5 targets".

--- a/core/deny/refusal.go
+++ b/core/deny/refusal.go
@@ -19,6 +19,7 @@
 
 // The kinds of refusals.
 const (
+	KindBlocked      Kind = "blocked"      // KindBlocked is a prompt with a part that crashes targets.
 	KindConflict     Kind = "conflict"     // KindConflict is an idempotency key already used with another request.
 	KindForbidden    Kind = "forbidden"    // KindForbidden is a model or service that the caller may not use.
 	KindInternal     Kind = "internal"     // KindInternal is a fault in this system.
--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -204,6 +204,7 @@
 		e, err := reader.Next()
 		switch {
 		case err == io.EOF && a.isEnd():
+			s.sender.Blocks.Answered(s.request.Prompt.Shared())
 			return completed{}
 		case err == io.EOF:
 			return interrupted{cause: "response ended before its first event", endedBy: chain.EndedByTarget}
@@ -221,6 +222,9 @@
 			s.countResume(a.source)
 			s.trackReplica(a.holder)
 		}
+		if received == 1 {
+			s.sender.Blocks.Answered(s.request.Prompt.Shared())
+		}
 		if err := s.deliver(head, e); err != nil {
 			return callerGone{}
 		}
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -23,6 +23,9 @@
 	streamRetryAfter = 600 * time.Millisecond
 	// maxUnsent bounds the attempts of one stream that did not reach the intended target.
 	maxUnsent = 8
+	// maxBeginLosses is the number of targets that one stream may lose as they begin to answer it. A first loss may be
+	// a coincidence.
+	maxBeginLosses = 2
 	// firstTargetTimeout is how long a new stream waits for an available target before it is refused; an eighth of
 	// the sheet's latency objective of 4.5 s is spare.
 	firstTargetTimeout = 400 * time.Millisecond
@@ -48,6 +51,7 @@
 	sendCount         int             // attempts whose target may have received the request
 	unsentCount       int             // attempts that did not reach the intended target
 	resumeCount       int             // times the stream went on at another target after its first event
+	beginLosses       int             // targets that crashed when they had begun to answer
 	eventCount        int             // events delivered to the caller
 	lastEventID       string          // id of the last event that the caller has
 	headSent          atomic.Bool     // whether the caller has the head of the response
@@ -127,6 +131,10 @@
 		if !ok {
 			return s.giveUp(ctx, "no target of the service is left")
 		}
+		if s.isBlocked() {
+			pick.Release()
+			return s.finalAnswer("a part of its prompt crashes targets")
+		}
 		startedAt := time.Now()
 		result := s.tryTarget(ctx, pick, source)
 		pick.Release()
@@ -193,6 +201,9 @@
 	case interrupted:
 		s.endedBy = r.endedBy
 		s.sender.Counts.Endings[r.endedBy].Inc()
+		if r.atBegin && s.sender.LostAtBegin(ctx, s.call, s.request, pick.Target) {
+			s.beginLosses++
+		}
 		s.reportFailure(pick, true, r.cause)
 	}
 	s.avoidedTargets[pick.Target.Name] = true
@@ -264,6 +275,8 @@
 	}
 	reason := ""
 	switch {
+	case s.beginLosses >= maxBeginLosses:
+		reason = "targets crashed when they had begun to answer it"
 	case s.mayHaveRun && !s.policy.Resumable:
 		reason = "its target failed and it may not be resumed"
 	case s.eventCount > 0 && !event.IsNumber(s.lastEventID):
@@ -278,6 +291,12 @@
 	return s.finalAnswer(reason), true
 }
 
+// isBlocked reports whether a part of the prompt is known to crash targets. A stream with two events does not.
+func (s *stream) isBlocked() bool {
+	_, ok := s.sender.Blocks.Blocked(s.request.Prompt.Shared())
+	return ok && s.eventCount < 2
+}
+
 // finalAnswer returns the answer of a stream that does not go on at another target.
 func (s *stream) finalAnswer(reason string) chain.Answer {
 	switch {
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -15,6 +15,7 @@
 	"bramleywharf.example/core/quota"
 	"bramleywharf.example/core/retry"
 	"bramleywharf.example/core/wire"
+	"bramleywharf.example/entry/block"
 	"bramleywharf.example/entry/board"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/feed"
@@ -108,6 +109,7 @@
 	board         *board.Board
 	fleet         atomic.Pointer[fleet.Fleet]
 	picker        *picker.Picker
+	blocks        *block.Block
 	link          *link.Link
 	bodies        *quota.Budget // bodies bounds the memory of the bodies that are held at a time.
 	callerServer  atomic.Pointer[conns.Server]
@@ -194,6 +196,7 @@
 	i.addCloser(i.board.Close)
 	i.picker = picker.New(board.NewTargets(targetFeed, i.deps.DecodeTarget, i.log), i.link.Drop, i.log, i.set)
 	i.addCloser(i.picker.Close)
+	i.blocks = block.New(i.log, i.set)
 	self := i.settings.Self
 	err = i.retryUntilDone(ctx, "announce", func(ctx context.Context) (err error) {
 		self.Incarnation, err = i.deps.Join.Announce(ctx)
@@ -214,7 +217,7 @@
 		return fmt.Errorf("start peer transport: %w", err)
 	}
 	i.addCloser(i.peerTransport.Close)
-	i.exchange = feed.NewSwap(i.peerTransport, i.picker, i.log, i.set, configFeed, targetFeed)
+	i.exchange = feed.NewSwap(i.peerTransport, i.picker, i.blocks, i.log, i.set, configFeed, targetFeed)
 	members := fleet.New(
 		fleet.Settings{Self: self, Seeds: i.settings.Seeds, ListPeriod: memberListInterval},
 		i.peerTransport, i.deps.Join, i.exchange, i.log, i.set,
@@ -288,12 +291,14 @@
 		Retries: i.localRetryBound,
 		Fleet:   i.settings.Retries,
 		Size:    func() int { return i.fleet.Load().View().Len() },
+		Blocks:  i.blocks,
 	}, i.link, i.picker, i.deps.Dialect, i.log, i.set)
 	handler := chain.Build(pass.New(sender).Handle,
 		filter.NewTrace(i.log, i.set),
 		filter.NewRecord(i.set, i.log),
 		filter.NewLocate(i.board),
 		filter.Noted{},
+		filter.NewBlock(i.blocks),
 	)
 	limits := i.board.Config().Limits
 	callerServer := conns.New(
--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -188,6 +188,12 @@
 	return false
 }
 
+// IsCurrent reports whether a target was not removed, restarted or told to drain since it was chosen.
+func (p *Picker) IsCurrent(target site.Target) bool {
+	_, ok := p.currentEntry(target)
+	return ok
+}
+
 // Sound picks a given target for a stream if IsSound holds for it.
 func (p *Picker) Sound(target site.Target, want Want) (*Pick, bool) {
 	current, ok := p.soundEntry(target)
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -12,6 +12,7 @@
 	"bramleywharf.example/core/retry"
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/core/wire"
+	"bramleywharf.example/entry/block"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/link"
 	"bramleywharf.example/entry/picker"
@@ -99,6 +100,7 @@
 	Retries func() retry.Bound // Retries returns this instance's share of the fleet's limit on retries.
 	Fleet   retry.Bound        // Fleet limits the retries of all instances together.
 	Size    func() int         // Size returns the number of instances, this one included.
+	Blocks  *block.Block       // Blocks holds the parts of prompts that crash targets.
 }
 
 // Sender holds what requests to targets share: the connections, the choice of targets, retry limits and metrics.
@@ -108,6 +110,7 @@
 	Dialect      Dialect
 	Log          log.Interface
 	Counts       Counts
+	Blocks       *block.Block
 	settings     Settings
 	startedAt    time.Time
 	paces        sync.Map // paces maps each service to an *atomic.Pointer[flow.PauseEstimate].
@@ -143,6 +146,7 @@
 		Picker:    p,
 		Dialect:   d,
 		Log:       logger,
+		Blocks:    s.Blocks,
 		settings:  s,
 		startedAt: time.Now(),
 		Counts: Counts{
