pass: whole answers show which parts of prompts crash targets, too

A part can crash targets at routes without streams as well, and there nothing was recorded. A whole answer whose head came and whose body did not, from a target that refuses connections since, counts like the begin of a stream, and a request is not sent on after two of them.

--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -23,9 +23,6 @@
 	streamRetryAfter = 600 * time.Millisecond
 	// maxUnsent bounds the attempts of one stream that did not reach the intended target.
 	maxUnsent = 8
-	// maxBeginLosses is the number of targets that one stream may lose as they begin to answer it. A first loss may be
-	// a coincidence.
-	maxBeginLosses = 2
 	// firstTargetTimeout is how long a new stream waits for an available target before it is refused; an eighth of
 	// the sheet's latency objective of 4.5 s is spare.
 	firstTargetTimeout = 400 * time.Millisecond
@@ -275,7 +272,7 @@
 	}
 	reason := ""
 	switch {
-	case s.beginLosses >= maxBeginLosses:
+	case s.beginLosses >= send.MaxBeginLosses:
 		reason = "targets crashed when they had begun to answer it"
 	case s.mayHaveRun && !s.policy.Resumable:
 		reason = "its target failed and it may not be resumed"
--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -8,6 +8,7 @@
 	"bramleywharf.example/core/deny"
 	"bramleywharf.example/core/retry"
 	"bramleywharf.example/entry/chain"
+	"bramleywharf.example/entry/link"
 	"bramleywharf.example/entry/picker"
 	"bramleywharf.example/entry/send"
 	"github.com/apex/log"
@@ -43,6 +44,7 @@
 	current, former  *attempt         // the newest open attempt, and the one before it while that is still open
 	patience         <-chan time.Time // fires when another target may be tried; nil if none may
 	overlap          <-chan time.Time // fires when the former attempt is given up; nil without one
+	beginLosses      int              // targets that crashed when they had begun to answer
 	hasReservedRetry bool             // whether a retry is counted for the next attempt
 	mayHaveRun       bool             // whether a target may have run the request without a valid answer
 	failedResponse   *chain.Passed    // a target's error response, passed on if no other attempt succeeds
@@ -66,7 +68,14 @@
 	defer u.close()
 	for {
 		pick, ok := u.sender.Picker.Plain(picker.Want{Service: u.service, Avoid: u.avoidedTargets})
+		_, blocked := u.sender.Blocks.Blocked(u.request.Prompt.Shared())
 		switch {
+		case ok && blocked && u.current == nil:
+			pick.Release()
+			return u.finalAnswer("a part of its prompt crashes targets")
+		case ok && blocked:
+			pick.Release()
+			u.patience = nil
 		case ok:
 			u.start(ctx, pick)
 		case u.current == nil:
@@ -185,7 +194,7 @@
 		}
 	}
 	if !errors.Is(ctx.Err(), context.Canceled) {
-		u.recordFailure(a, result)
+		u.recordOutcome(ctx, a, result)
 	}
 }
 
@@ -248,6 +257,8 @@
 		return nil, false
 	}
 	switch {
+	case u.beginLosses >= send.MaxBeginLosses:
+		return u.finalAnswer("targets crashed when they had begun to answer it"), true
 	case !u.idempotent && u.mayHaveRun:
 		return u.finalAnswer("its target failed"), true
 	case u.sendCount >= u.call.Route.MaxAttempts:
@@ -284,11 +295,11 @@
 	}
 }
 
-// recordFailure logs an outcome other than answered, and tells the picker if the target failed. Targets that could not
-// be reached are reported by the
-// attempt.
-func (u *unaryCall) recordFailure(a *attempt, result outcome) {
+// recordOutcome logs an outcome other than answered, and tells the picker if the target failed. Targets that could not
+// be reached are reported by the attempt.
+func (u *unaryCall) recordOutcome(ctx context.Context, a *attempt, result outcome) {
 	if _, ok := result.(answered); ok {
+		u.sender.Blocks.Answered(u.request.Prompt.Shared())
 		return
 	}
 	fields := log.Fields{"request": u.call.ID, "target": a.pick.Target.Name, "service": u.service, "sends": u.sendCount}
@@ -299,6 +310,9 @@
 	case notSent:
 		u.sender.Log.WithFields(fields).WithError(r.err).Info("target did not get the request")
 	case unconfirmed:
+		if errors.Is(r.err, link.ErrBroken) && u.sender.LostAtBegin(ctx, u.call, u.request, a.pick.Target) {
+			u.beginLosses++
+		}
 		if !a.reported {
 			a.pick.Failed()
 		}
--- a/entry/send/begin.go
+++ b/entry/send/begin.go
@@ -11,6 +11,10 @@
 	"github.com/pkg/errors"
 )
 
+// MaxBeginLosses is the number of targets that one request may lose as they begin to answer it. A first loss may be a
+// coincidence.
+const MaxBeginLosses = 2
+
 const (
 	// crashProbes is the number of times that a target is probed to find out whether it has crashed.
 	crashProbes = 2
