feed, inst: an instance that starts has what a peer has before it serves

An instance that had just started sent a request with a blocked part to a target, since its first pull came 250 ms after its start (TestDeadlyPartIsBlocked/at-most-once, 502 and not 503 at the instance that started last). It now pulls at once, and again after 50 ms up to eight times, and takes no callers before a peer has answered or these have failed. An instance without peers is ready up to 0.4 s later for it.

After: the test passes, twice under the race detector.

--- a/entry/feed/swap.go
+++ b/entry/feed/swap.go
@@ -39,6 +39,10 @@
 	// loadsPerPull is the average number of load reports that a pull may return. It bounds bytes and processor time
 	// in a fleet of any size.
 	loadsPerPull = 18
+	// joinPulls is the number of pulls in vain after which an instance that starts goes on without its peers.
+	joinPulls = 8
+	// joinInterval is the time between two of them.
+	joinInterval = 50 * time.Millisecond
 	// pullTimeout bounds one pull.
 	pullTimeout = 400 * time.Millisecond
 )
@@ -83,7 +87,8 @@
 	losses     Losses
 	peers      peer.Client
 	log        log.Interface
-	newerPeers chan string // newerPeers passes on the address of a peer that has a newer revision.
+	joined     chan struct{} // joined is closed after the first answered pull, or when pulls in vain have ended.
+	newerPeers chan string   // newerPeers passes on the address of a peer that has a newer revision.
 	allowance  atomic.Pointer[allowance]
 	postponed  *metrics.Counter
 
@@ -104,6 +109,7 @@
 		losses:     losses,
 		peers:      peers,
 		log:        logger,
+		joined:     make(chan struct{}),
 		newerPeers: make(chan string, 1),
 		postponed:  set.GetOrCreateCounter("bramleywharf_pages_postponed_total"),
 	}
@@ -118,6 +124,11 @@
 	})
 }
 
+// Joined returns a channel that closes when this instance has what a peer has, or has found no peer that answers.
+func (s *Swap) Joined() <-chan struct{} {
+	return s.joined
+}
+
 // Age returns the least age of all feeds.
 func (s *Swap) Age() time.Duration {
 	age := s.feeds[0].Age()
@@ -197,6 +208,7 @@
 
 // loop pulls from a random member at each interval, and early from a peer that reported a newer revision.
 func (s *Swap) loop(ctx context.Context, members Members) {
+	s.join(ctx, members)
 	ticker := time.NewTicker(pullInterval)
 	defer ticker.Stop()
 	for {
@@ -213,6 +225,16 @@
 	}
 }
 
+// join pulls until a peer has answered, a few times at most.
+func (s *Swap) join(ctx context.Context, members Members) {
+	defer close(s.joined)
+	for range joinPulls {
+		if s.pullFromTree(ctx, members) || !wait.Sleep(ctx, joinInterval) {
+			return
+		}
+	}
+}
+
 // isPullDue reports whether to pull from a peer that reported a newer revision, and if so counts the pull.
 func (s *Swap) isPullDue(members Members, address string, now time.Time) bool {
 	m, _ := members.View().AtAddress(address)
@@ -227,14 +249,19 @@
 	return true
 }
 
-// pullFromTree pulls from a member above this instance, and from another one at once if that one does not answer.
-func (s *Swap) pullFromTree(ctx context.Context, members Members) {
+// pullFromTree pulls from a member above this instance, and from another one at once if that one does not answer. It
+// reports whether one has answered.
+func (s *Swap) pullFromTree(ctx context.Context, members Members) bool {
 	for range 2 {
 		address, ok := s.pickPeer(members)
-		if !ok || s.Pull(ctx, address) {
-			return
+		if !ok {
+			return false
+		}
+		if s.Pull(ctx, address) {
+			return true
 		}
 	}
+	return false
 }
 
 // Pull fetches and merges what a peer has and this instance lacks; it reports whether the peer answered.
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -46,6 +46,8 @@
 	bodyMemoryShare = 0.15
 	// auxHeaderTimeout bounds the wait for the headers of a request to the auxiliary servers.
 	auxHeaderTimeout = 2 * time.Second
+	// joinTimeout bounds the wait for what the other instances know, such as the parts of prompts that crash targets.
+	joinTimeout = time.Second
 	// localRetryShare is the part of the fleet's bound on retries that instances use without knowledge of each other.
 	localRetryShare = 0.8
 )
@@ -234,6 +236,12 @@
 	if err := i.waitForConfig(ctx, configFeed, targetFeed); err != nil {
 		return err
 	}
+	select {
+	case <-i.exchange.Joined():
+	case <-time.After(joinTimeout):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	return i.acceptCallers(members)
 }
 
