--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -18,22 +18,6 @@
 )
 
 const (
-	// firstEventTimeout is the time allowed for the first event of a stream with an empty prompt.
-	firstEventTimeout = 2 * time.Second
-	// timeoutPerPromptToken is added to firstEventTimeout for each token of the prompt; an engine that runs nothing
-	// else reads 8 tokens in that time.
-	timeoutPerPromptToken = time.Millisecond
-	// replicaEventTimeout is the time allowed for the first event of an attempt that starts from a replica; reading
-	// the prompt again elsewhere takes a second or more.
-	replicaEventTimeout = 1500 * time.Millisecond
-	// domainLossProbeDelay is the shortest silence after which a target is probed when its failure domain has just
-	// lost a target.
-	domainLossProbeDelay = 120 * time.Millisecond
-	// probeInterval is the least time between two probes, and the silence before the first one while the target reads
-	// the prompt; most prompts are read by then.
-	probeInterval = 1200 * time.Millisecond
-	// domainLossProbeInterval replaces probeInterval when the failure domain has just lost a target.
-	domainLossProbeInterval = 300 * time.Millisecond
 	// progressCheckDelay is the wait for the first event after which the target's report is read instead of a probe;
 	// most prompts are read by then.
 	progressCheckDelay   = 2200 * time.Millisecond
--- a/entry/flight/guard.go
+++ b/entry/flight/guard.go
@@ -148,16 +148,22 @@
 	lastEvent := time.Duration(m.lastEvent.Load())
 	now := time.Since(m.startedAt)
 	silence := now - lastEvent
-	if silence > m.silenceTimeout(lastEvent) {
+	expected := flow.Silence{
+		Begun:        lastEvent > 0,
+		FromReplica:  m.fromReplica,
+		PromptTokens: m.promptTokens,
+		DomainLoss:   m.pick.DomainLostSince(m.startedAt.Add(max(lastEvent, m.lastProbe))),
+		Pauses:       m.sender.Pace(m.stream.service),
+	}
+	if silence > expected.Timeout() {
 		return errStalled
 	}
-	domainLoss := m.pick.DomainLostSince(m.startedAt.Add(max(lastEvent, m.lastProbe)))
-	if silence <= m.probeDelay(lastEvent, domainLoss) || m.lastProbe > lastEvent && now-m.lastProbe < minProbeInterval(domainLoss) {
+	if silence <= expected.ProbeDelay() || m.lastProbe > lastEvent && now-m.lastProbe < expected.ProbeInterval() {
 		return nil
 	}
 	m.lastProbe = now
 	var err error
-	if lastEvent == 0 && !m.fromReplica && (domainLoss || now > progressCheckDelay) {
+	if lastEvent == 0 && !m.fromReplica && (expected.DomainLoss || now > progressCheckDelay) {
 		err = m.checkProgress(ctx)
 	} else if m.sender.Link.Probe(ctx, m.pick.Target.Address) != nil {
 		err = errUnreachable
@@ -192,41 +198,8 @@
 	return nil
 }
 
-// silenceTimeout returns the time without an event that ends an attempt.
-func (m *monitor) silenceTimeout(lastEvent time.Duration) time.Duration {
-	switch {
-	case lastEvent > 0:
-		return m.sender.Pace(m.stream.service).CutTimeout()
-	case m.fromReplica:
-		return replicaEventTimeout
-	default:
-		return firstEventTimeout + time.Duration(m.promptTokens)*timeoutPerPromptToken
-	}
-}
-
 // stop ends the checks and waits for the goroutine.
 func (m *monitor) stop() {
 	close(m.stopping)
 	<-m.stopped
 }
-
-// minProbeInterval returns the least time between two probes.
-func minProbeInterval(domainLoss bool) time.Duration {
-	if domainLoss {
-		return domainLossProbeInterval
-	}
-	return probeInterval
-}
-
-// probeDelay returns the time without an event after which the target is probed. It is shorter when the failure
-// domain has lost a target since the last event and the last probe.
-func (m *monitor) probeDelay(lastEvent time.Duration, domainLoss bool) time.Duration {
-	switch {
-	case domainLoss:
-		return max(domainLossProbeDelay, m.sender.Pace(m.stream.service).ProbeTimeout()/2)
-	case lastEvent > 0 || m.fromReplica:
-		return m.sender.Pace(m.stream.service).ProbeTimeout()
-	default:
-		return probeInterval
-	}
-}
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -334,15 +333,6 @@
 	return nil
 }
 
-// serveAux starts an auxiliary server, which runs until the instance has drained.
-func (i *Instance) serveAux(address string, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: auxHeaderTimeout}
-	i.mu.Lock()
-	i.auxServers = append(i.auxServers, server)
-	i.mu.Unlock()
-	return i.serve(server, address)
-}
-
 // addCloser registers the function that closes a component when the instance stops.
 func (i *Instance) addCloser(closer func()) {
 	i.mu.Lock()
@@ -350,15 +340,6 @@
 	i.closers = append(i.closers, closer)
 }
 
-// readinessHandler answers the platform's readiness probe: 200 when ready, 503 otherwise.
-func (i *Instance) readinessHandler() http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		if !i.ready.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	}
-}
-
 // localRetryBound returns this instance's share of the fleet's bound on retries. The slack is divided among all known
 // members, including dead ones.
 func (i *Instance) localRetryBound() retry.Bound {
@@ -366,38 +347,3 @@
 	slack := localRetryShare * float64(bound.Slack) / float64(max(1, i.fleet.Load().View().Len()))
 	return retry.Bound{Ratio: localRetryShare * bound.Ratio, Slack: int(slack)}
 }
-
-// serve listens on an address and serves it in the background.
-func (i *Instance) serve(server interface{ Serve(net.Listener) error }, address string) error {
-	config := net.ListenConfig{
-		KeepAliveConfig: link.KeepAlive(),
-		Control:         link.BoundUnacknowledged,
-	}
-	listener, err := config.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
-	}
-	go func() {
-		if err := server.Serve(listener); err != http.ErrServerClosed {
-			i.reportFailure(fmt.Errorf("serve %s: %w", address, err))
-		}
-	}()
-	return nil
-}
-
-// boundMemory gives each request an account of the budget, from which its bodies take their memory until it has ended.
-func boundMemory(budget *quota.Budget, next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		account := budget.Open()
-		defer account.Close()
-		next.ServeHTTP(w, r.WithContext(quota.NewContext(r.Context(), account)))
-	})
-}
-
-// metricsHandler answers with all metrics in the Prometheus text format.
-func metricsHandler(set *metrics.Set) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		set.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
-	}
-}
