quota: bytes taken while an account closes are given back

Callers would see: in the long run requests refused for want of memory for their bodies.

Cause: Take looked whether the account is closed before it added the bytes to it. A Close in between had given back what was held by then, and the bytes that came after stayed in the budget for good. Since attempts overlap and replicas are ordered by goroutines that may outlive their request, Take and Close do run at the same time.

Change: the bytes are added first, and given back if the account is closed by then.

--- a/core/quota/budget.go
+++ b/core/quota/budget.go
@@ -50,11 +50,15 @@
 	if a == nil {
 		return nil
 	}
-	if used := a.budget.used.Add(bytes); a.budget.limit > 0 && used > a.budget.limit || a.closed.Load() {
+	if used := a.budget.used.Add(bytes); a.budget.limit > 0 && used > a.budget.limit {
 		a.budget.used.Add(-bytes)
 		return ErrExhausted
 	}
 	a.held.Add(bytes)
+	if a.closed.Load() {
+		a.budget.used.Add(-a.held.Swap(0))
+		return ErrExhausted
+	}
 	return nil
 }
 
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -79,3 +79,18 @@
 	c.Assert(b.Used(), quicktest.Equals, int64(0))
 	c.Assert(FromContext(context.Background()), quicktest.IsNil)
 }
+
+// TestClosedAccountHoldsNothing checks that bytes which are taken while an account is being closed are given back.
+func TestClosedAccountHoldsNothing(t *testing.T) {
+	budget := New(0)
+	var group sync.WaitGroup
+	for range 2000 {
+		account := budget.Open()
+		for range 2 {
+			group.Go(func() { _ = account.Take(1) })
+		}
+		group.Go(account.Close)
+	}
+	group.Wait()
+	quicktest.Assert(t, budget.Used(), quicktest.Equals, int64(0))
+}
