flight: the response to the release of a replica is read

The order to free the replica had been sent; its connection was dropped instead of kept, and a new one is billed.

Cause: the release runs after its request has ended, in a context that kept the request's account of memory, which takes nothing once it is closed.

Change: quota.Detach gives such work a context without the account.

Before, with context.WithoutCancel in its place, TestWorkAfterRequestIsNotRefused ends with ErrExhausted. After: passes, with -race.

--- a/core/quota/budget.go
+++ b/core/quota/budget.go
@@ -75,3 +75,9 @@
 func NewContext(ctx context.Context, a *Account) context.Context {
 	return context.WithValue(ctx, accountKey{}, a)
 }
+
+// Detach returns a context with the values of a request's context for work that outlives the request: it is neither
+// cancelled with the request nor takes from its account, which is closed by then.
+func Detach(ctx context.Context) context.Context {
+	return NewContext(context.WithoutCancel(ctx), nil)
+}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -94,3 +94,17 @@
 	group.Wait()
 	quicktest.Assert(t, budget.Used(), quicktest.Equals, int64(0))
 }
+
+// TestWorkAfterRequestIsNotRefused checks that work which outlives its request is neither cancelled nor out of memory.
+func TestWorkAfterRequestIsNotRefused(t *testing.T) {
+	c := quicktest.New(t)
+	account := New(1000).Open()
+	ctx, cancel := context.WithCancel(NewContext(t.Context(), account))
+	detached := Detach(ctx)
+	cancel()
+	account.Close()
+	content, err := ReadAll(strings.NewReader("freed"), -1, FromContext(detached))
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(string(content), quicktest.Equals, "freed")
+	c.Assert(detached.Err(), quicktest.IsNil)
+}
--- a/entry/flight/copy.go
+++ b/entry/flight/copy.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"bramleywharf.example/core/quota"
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/entry/send"
 	"github.com/apex/log"
@@ -101,7 +102,7 @@
 	if r == nil || r.orderedAt.IsZero() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), replicaCallTimeout)
+	ctx, cancel := context.WithTimeout(quota.Detach(ctx), replicaCallTimeout)
 	go func() {
 		defer cancel()
 		if _, _, err := s.sender.Link.Exchange(ctx, s.sender.Dialect.Drop(r.source)); err != nil {
