cloud: a page whose objects cannot be told apart is an error

Operators would see: all targets, or the configuration, gone at once, after one answer of the store that cannot be read.

Cause: a list that cannot be split into its items counted as an empty one, so that a list of all objects was complete without any, and changes were skipped for good. A page of that kind failed as a whole until pages were split without decoding them.

Class: the absence of an error taken for success. Found by the review of the joined code.

--- a/core/loose/loose.go
+++ b/core/loose/loose.go
@@ -4,8 +4,13 @@
 	"bytes"
 	"encoding/json"
 	"math"
+
+	"github.com/pkg/errors"
 )
 
+// ErrNoList means that a value is no list whose elements can be told apart.
+var ErrNoList = errors.New("value is no list")
+
 // maxWhole bounds numbers that are exact in a float64.
 const maxWhole = 1 << 53
 
@@ -34,6 +39,18 @@
 	return split(raw, '[', ']')
 }
 
+// OptionalItems returns the elements of a list, none if it is absent or null, and ErrNoList for anything else.
+func OptionalItems(raw []byte) ([][]byte, error) {
+	if len(raw) == 0 || string(raw) == "null" {
+		return nil, nil
+	}
+	items, ok := Items(raw)
+	if !ok {
+		return nil, ErrNoList
+	}
+	return items, nil
+}
+
 // Whole returns a number as an integer, and false if it is none or if a float64 may have rounded it.
 func Whole(number float64) (int64, bool) {
 	if math.Abs(number) > maxWhole || number != math.Trunc(number) {
