loose, cloud: the entry of another writer over 64 KB is not decoded

An instance that reads a page with ten odd entries of 512 KB needs time that it has to follow the rest with. Decoding such an entry only to find that its fields are too long took most of it. Its size tells as much.

--- a/core/loose/loose.go
+++ b/core/loose/loose.go
@@ -3,17 +3,36 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"math"
 
 	"github.com/pkg/errors"
 )
 
+// maxPart bounds the size of a part that Decode reads, in bytes. Parts of other writers may be as large as the store
+// allows, and decoding them takes time that an instance needs to follow the rest.
+const maxPart = 64 << 10
+
+// ErrTooLarge means that a part of a value is too large to be decoded.
+var ErrTooLarge = errors.New("value is too large")
+
 // ErrNoList means that a value is no list whose elements can be told apart.
 var ErrNoList = errors.New("value is no list")
 
 // maxWhole bounds numbers that are exact in a float64.
 const maxWhole = 1 << 53
 
+// Decode decodes a part of a value into v, unless the part is too large.
+func Decode(raw []byte, v any) error {
+	if len(raw) > maxPart {
+		return fmt.Errorf("%w: %d bytes", ErrTooLarge, len(raw))
+	}
+	if err := json.Unmarshal(raw, v); err != nil {
+		return fmt.Errorf("decode part: %w", err)
+	}
+	return nil
+}
+
 // Fields returns the encoded values of an object's fields by name, and false if raw is no object. Of fields with the
 // same name it returns the last one.
 func Fields(raw []byte) (map[string][]byte, bool) {
