inst: a stop during the start ends the start

What callers saw: an instance that got SIGTERM while it started became ready afterwards, ran requests, and cut the one under way without an answer 2.5 s after the signal.

Cause: drain read the pointer to the server for callers once. It was nil, so the server was neither left nor drained, while startUp went on, opened it and set ready again; stop then closed it with calls open. The entry could also be stored after it had been withdrawn, as the call was given up but not undone.

Class: a decision (leaving) and a resource (the server) that are published without an order between them.

Now both are put in order by one lock: either the server is admitted first and drain sees it, or the instance is leaving first and the server is never opened, so nothing has been accepted that could be lost. drain ends such a start and waits for it before it reads the fleet and withdraws the entry; an announce under way is not cancelled. ready is never set once leaving. A server that is drained before its Serve runs refuses to serve.

Ruled out: to let the start finish and drain as usual (an instance would open its address only to close it), and to reload the pointer without a lock (the server may be stored after the last look).

Not covered: a store that applies an announce more than a second after it was sent, when the attempt has timed out here.

--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -122,6 +122,7 @@
 	done          chan struct{}
 
 	mu         sync.Mutex
+	leaving    bool           // leaving tells that the instance must neither open its server for callers nor become ready.
 	auxServers []*http.Server // auxServers serve readiness, metrics and the directory.
 	closers    []func()       // closers close the components, in the order in which they were started.
 }
@@ -200,7 +201,7 @@
 	i.blocks = block.New(i.log, i.set)
 	self := i.settings.Self
 	err = i.retryUntilDone(ctx, "announce", func(ctx context.Context) (err error) {
-		self.Incarnation, err = i.deps.Join.Announce(ctx)
+		self.Incarnation, err = i.announce(ctx)
 		return err
 	})
 	if err != nil {
@@ -321,15 +322,18 @@
 		i.log, i.set,
 	)
 	i.addCloser(callerServer.Close)
+	if !i.admit(callerServer) {
+		return nil
+	}
 	if err := i.serve(callerServer, members.Self().CallerAddress); err != nil {
 		return err
 	}
-	i.callerServer.Store(callerServer)
 	if err := i.serveAux(i.settings.Directory, i.deps.Lookup(i.callerAddresses)); err != nil {
 		return err
 	}
-	i.ready.Store(true)
-	i.log.WithField("config-version", i.board.Config().Version).Info("instance is ready")
+	if i.becomeReady() {
+		i.log.WithField("config-version", i.board.Config().Version).Info("instance is ready")
+	}
 	return nil
 }
 
--- a/entry/inst/join.go
+++ b/entry/inst/join.go
@@ -17,6 +17,9 @@
 func (i *Instance) retryUntilDone(ctx context.Context, step string, call func(context.Context) error) error {
 	for failing := false; ; failing = true {
 		err := withTimeout(ctx, call)
+		if ctx.Err() != nil {
+			return fmt.Errorf("%s: %w", step, ctx.Err())
+		}
 		if err == nil {
 			if failing {
 				i.log.WithField("step", step).Info("store is reachable again")
@@ -38,3 +41,13 @@
 	defer cancel()
 	return call(ctx)
 }
+
+// announce stores the entry of this instance. An attempt is not cancelled with the start, as the entry might then be
+// stored after it was withdrawn.
+func (i *Instance) announce(ctx context.Context) (incarnation uint64, err error) {
+	err = withTimeout(context.WithoutCancel(ctx), func(ctx context.Context) error {
+		incarnation, err = i.deps.Join.Announce(ctx)
+		return err
+	})
+	return incarnation, err
+}
--- a/entry/inst/leave.go
+++ b/entry/inst/leave.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleywharf.example/core/wait"
+	"bramleywharf.example/entry/internal/conns"
 )
 
 const (
@@ -17,25 +18,59 @@
 	withdrawTimeout = 300 * time.Millisecond // withdrawTimeout bounds the removal of the entry, within graceMargin.
 )
 
-// Leave shuts the instance down gracefully: requests that end within the grace period are completed.
+// Leave shuts the instance down gracefully: requests that end within the grace period are completed. A start that has not
+// opened the server for callers is ended.
 func (i *Instance) Leave() {
 	i.leaveOnce.Do(func() {
 		i.log.Info("instance is leaving")
+		i.mu.Lock()
+		i.leaving = true
 		i.ready.Store(false)
+		i.mu.Unlock()
 		go i.drain(time.Now().Add(i.settings.Grace - graceMargin))
 	})
 }
 
+// admit hands the server for callers to drain, and reports false if the instance is leaving and must not open it.
+func (i *Instance) admit(callerServer *conns.Server) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.leaving {
+		return false
+	}
+	i.callerServer.Store(callerServer)
+	return true
+}
+
+// becomeReady marks the instance as ready, and reports false if it is leaving.
+func (i *Instance) becomeReady() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.ready.Store(!i.leaving)
+	return !i.leaving
+}
+
+// endStart cancels the start and waits for it, since a call that announces this instance may be on its way.
+func (i *Instance) endStart(ctx context.Context) {
+	i.cancel()
+	select {
+	case <-i.startDone:
+	case <-ctx.Done():
+	}
+}
+
 // drain lets callers move to other instances, waits for open calls until the deadline, and stops the instance. Idle
 // connections are closed at the start, so that their callers' next streams begin where they can end.
 func (i *Instance) drain(deadline time.Time) {
 	defer close(i.done)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
 	callerServer := i.callerServer.Load()
 	if callerServer != nil {
 		callerServer.Leave()
+	} else {
+		i.endStart(ctx)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
 	if members := i.fleet.Load(); members != nil {
 		members.Leave()
 		wait.Sleep(ctx, lameDuckTime)
--- a/entry/internal/conns/server.go
+++ b/entry/internal/conns/server.go
@@ -37,6 +37,7 @@
 	open      sync.Map    // open holds the open connections as *conn.
 	openCount atomic.Int64
 	listener  atomic.Pointer[listener]
+	stopped   atomic.Bool // stopped tells that no more connections are accepted.
 	overLimit *metrics.Counter
 	onLeaving *metrics.Counter
 	crossed   *metrics.Counter
@@ -70,8 +71,13 @@
 	tracked := &listener{Listener: l, server: s, done: make(chan struct{})}
 	s.listener.Store(tracked)
 	defer close(tracked.done)
+	// The server may have stopped before it could close this listener.
+	if s.stopped.Load() {
+		_ = l.Close()
+		return http.ErrServerClosed
+	}
 	err := s.http.Serve(tracked)
-	if tracked.stopped.Load() {
+	if s.stopped.Load() {
 		return http.ErrServerClosed
 	}
 	return err
@@ -88,8 +94,7 @@
 // It returns when no connection is left, or an error when the context ends first.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Leave()
-	if l := s.listener.Load(); l != nil {
-		l.stop()
+	if l := s.stopAccepting(); l != nil {
 		select {
 		case <-l.done:
 		case <-ctx.Done():
@@ -110,12 +115,20 @@
 // Close closes all connections, also those with requests in progress.
 func (s *Server) Close() {
 	s.sweeper.Close()
-	if l := s.listener.Load(); l != nil {
-		l.stop()
-	}
+	s.stopAccepting()
 	_ = s.http.Close()
 }
 
+// stopAccepting makes Serve return, and returns its listener, or nil if there is none yet.
+func (s *Server) stopAccepting() *listener {
+	s.stopped.Store(true)
+	l := s.listener.Load()
+	if l != nil {
+		_ = l.Close()
+	}
+	return l
+}
+
 // sweep closes the connections that a rule allows to close.
 func (s *Server) sweep(r rule, now time.Time) {
 	count := s.onLeaving
@@ -193,9 +206,8 @@
 // listener tracks the connections that it accepts.
 type listener struct {
 	net.Listener
-	server  *Server
-	stopped atomic.Bool
-	done    chan struct{} // done is closed when no more connections are accepted.
+	server *Server
+	done   chan struct{} // done is closed when no more connections are accepted.
 }
 
 // Accept returns the next connection.
@@ -209,9 +221,3 @@
 	l.server.openCount.Add(1)
 	return c, nil
 }
-
-// stop makes Serve return.
-func (l *listener) stop() {
-	l.stopped.Store(true)
-	_ = l.Listener.Close()
-}
--- a/entry/internal/conns/server_test.go
+++ b/entry/internal/conns/server_test.go
@@ -413,6 +413,26 @@
 	s.c.Assert(s.onLeaving.Get(), quicktest.Equals, uint64(2))
 }
 
+// TestServeAfterDrain checks that a server that has been drained accepts no connection, although it is served only then.
+func TestServeAfterDrain(t *testing.T) {
+	c := quicktest.New(t)
+	s := New(Settings{IdleLimit: func() time.Duration { return 0 }}, &http.Server{}, &log.Logger{Handler: discard.New()}, metrics.NewSet())
+	defer s.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(s.Drain(context.Background()), quicktest.IsNil)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(listener) }()
+	select {
+	case err := <-served:
+		c.Assert(err, quicktest.Equals, http.ErrServerClosed)
+	case <-time.After(waitTimeout):
+		c.Fatal("a drained server serves")
+	}
+	_, err = net.Dial("tcp", listener.Addr().String())
+	c.Assert(err, quicktest.IsNotNil)
+}
+
 // TestUnannouncedAnswerEndsWhileLeaving checks that the connection of an answer whose head was sent before the server
 // left is closed once the answer is whole.
 func TestUnannouncedAnswerEndsWhileLeaving(t *testing.T) {
