conns: stray bytes do not hold a connection

What callers and operators saw: a caller that sent one to three bytes after a request, such as a line break after its body, and then nothing kept its connection for good: the idle limit never closed it, and a planned stop waited for it until the grace time was over.

Cause: any byte moved the phase to busy. net/http waits for four bytes on a kept connection (Peek) before its header timeout applies, and with our own idle limit it has no other deadline there.

Class: a state that is entered on input and left only by what the peer does next.

Between the first byte and the fourth the phase is now reading. A connection in it is closed beyond the idle limit once no byte has arrived for the header timeout, and by a drain once none has arrived for settleTime. From the fourth byte on it is busy as before, and net/http's header timeout ends a head that stalls; so a drain cuts no head that is half read. Input that waits in the kernel still keeps a connection open, and the change of phase still decides between the close and the rest of the head. An answer that did not pass guard now also moves its connection to idle.

Ruled out: the whole head as reading (a drain would cut heads that arrive over more than settleTime), and new connections, for which net/http's header timeout runs from the start.

--- a/entry/internal/conns/conn.go
+++ b/entry/internal/conns/conn.go
@@ -31,10 +31,10 @@
 	return c
 }
 
-// Read returns bytes only if the connection is not being closed, and keeps it from being closed as idle from then on.
+// Read returns bytes only if the connection is not being closed.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 && !c.begin() {
+	if n > 0 && !c.receive(n) {
 		c.crossed.Inc()
 		return 0, net.ErrClosed
 	}
@@ -55,8 +55,8 @@
 	return nil
 }
 
-// begin moves the connection to busy, and reports false if it has been closed.
-func (c *conn) begin() bool {
+// receive moves the connection on as n bytes have arrived, and reports false if it has been closed.
+func (c *conn) receive(n int) bool {
 	for {
 		p := c.phase.Load()
 		switch (*p).(type) {
@@ -65,15 +65,27 @@
 		case closed:
 			return false
 		}
-		if c.phase.CompareAndSwap(p, busyPhase) {
+		next := busyPhase
+		if r, ok := received(*p, n, time.Now()).(reading); ok {
+			next = newPhase(r)
+		}
+		if c.phase.CompareAndSwap(p, next) {
 			return true
 		}
 	}
 }
 
-// rest moves the connection from busy to idle.
+// begin moves the connection to busy, and reports false if it has been closed.
+func (c *conn) begin() bool {
+	return c.receive(headBytes)
+}
+
+// rest moves the connection to idle unless it has been closed.
 func (c *conn) rest(now time.Time, limit time.Duration) {
-	c.phase.CompareAndSwap(busyPhase, newPhase(idle{since: now, limit: limit}))
+	p := c.phase.Load()
+	if _, isClosed := (*p).(closed); !isClosed {
+		c.phase.CompareAndSwap(p, newPhase(idle{since: now, limit: limit}))
+	}
 }
 
 // closeUnused closes the connection if a rule allows it, and reports whether it did. A connection with input that
--- a/entry/internal/conns/doc.go
+++ b/entry/internal/conns/doc.go
@@ -7,4 +7,7 @@
 // runs, and its answer has nowhere to go. Here the bytes of a request and the
 // decision to close its connection are put in order by one atomic phase for each
 // connection, so that a request is either answered or was never read.
+//
+// A few stray bytes, such as a line break after a body, count as the beginning of a
+// request only for a while: net/http sets no deadline before it has four bytes.
 package conns
--- a/entry/internal/conns/server.go
+++ b/entry/internal/conns/server.go
@@ -17,7 +17,8 @@
 const (
 	sweepInterval = time.Second           // sweepInterval is the time between two checks for idle connections.
 	drainInterval = 50 * time.Millisecond // drainInterval is that time while the server drains.
-	// settleTime is how long a draining server waits for the first request on a connection that has just been opened.
+	// settleTime is how long a draining server waits for the first byte on a connection that has just been opened, or for
+	// the next byte of a request of which almost nothing has arrived.
 	settleTime = 200 * time.Millisecond
 )
 
@@ -27,7 +28,7 @@
 	IDHeader  string               // IDHeader names the header of a request's id, for the log, or is empty.
 }
 
-// Server is an HTTP server that closes no connection on which a request has arrived.
+// Server is an HTTP server that closes no connection on which a request has arrived or is arriving.
 type Server struct {
 	settings  Settings
 	log       log.Interface
@@ -60,7 +61,7 @@
 	httpServer.ConnState = server.trackState
 	server.sweeper = wait.Start(func(ctx context.Context) {
 		for wait.Sleep(ctx, sweepInterval) {
-			server.sweep(overLimit{limit: s.IdleLimit()}, time.Now())
+			server.sweep(overLimit{limit: s.IdleLimit(), head: httpServer.ReadHeaderTimeout}, time.Now())
 		}
 	})
 	return server
