send: losses count only for prompts with shared parts

Callers saw: a stream without a prompt, or with one part, was given up with 502 after two lost targets although attempts were left and sound targets too.

Cause: LostAtBegin counted and recorded a crash whatever the prompt. Only shared parts can be blocked, so for such requests the losses were no evidence of anything, and the probes of the target delayed the retry.

Class: a rule made for some requests that acts on all.

Change: without shared parts nothing is probed, recorded or counted.

Before, TestLossesWithoutSharedPartsLeaveAttempts, five targets that crash at a stream with one part and a route of five attempts: got: int(2) want: int(5) After: passes three times, with -race.

--- a/entry/send/begin.go
+++ b/entry/send/begin.go
@@ -25,12 +25,14 @@
 
 // LostAtBegin is called when a response has ended early that a target had begun. It reports whether the target has
 // crashed, and if so records it as a loss of the parts of the prompt. A target that was to end is none, and neither is
-// one that takes connections or does not answer: there the response was cut on its way.
+// one that takes connections or does not answer: there the response was cut on its way. Without shared parts nothing is
+// recorded, since no other request would be refused for it.
 func (s *Sender) LostAtBegin(ctx context.Context, c chain.Call, f chain.Forward, target site.Target) bool {
-	if !s.Picker.IsCurrent(target) || !s.hasCrashed(ctx, target) {
+	parts := f.Prompt.Shared()
+	if len(parts) == 0 || !s.Picker.IsCurrent(target) || !s.hasCrashed(ctx, target) {
 		return false
 	}
-	s.Blocks.Lost(f.Prompt.Shared(), target.Name, c.ID)
+	s.Blocks.Lost(parts, target.Name, c.ID)
 	return true
 }
 
