flight: a stream that a target has run past its begin is no evidence

Callers saw: a stream with several events was cut after it resumed at two targets that others crashed, although attempts were left.

Class: two conditions for one notion; isBlocked asked for two events of the stream.

A stream with single events of several targets still counts, since a deadly part ends each target at its begin.

--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -49,6 +49,7 @@
 	unsentCount       int             // attempts that did not reach the intended target
 	resumeCount       int             // times the stream went on at another target after its first event
 	beginLosses       int             // targets that crashed when they had begun to answer
+	wentOn            bool            // whether a target went on after it had begun to answer
 	eventCount        int             // events delivered to the caller
 	lastEventID       string          // id of the last event that the caller has
 	headSent          atomic.Bool     // whether the caller has the head of the response
@@ -288,10 +289,10 @@
 	return s.finalAnswer(reason), true
 }
 
-// isBlocked reports whether a part of the prompt is known to crash targets. A stream with two events does not.
+// isBlocked reports whether a part of the prompt is known to crash targets. A stream with which a target went on does not.
 func (s *stream) isBlocked() bool {
 	_, ok := s.sender.Blocks.Blocked(s.request.Prompt.Shared())
-	return ok && s.eventCount < 2
+	return ok && !s.wentOn
 }
 
 // finalAnswer returns the answer of a stream that does not go on at another target.
