send: targets are probed for crashes beside the retry

Callers saw: when a target that goes on to take connections broke off an answer, the retry came 100 ms later, and up to 400 ms later at one that answers nothing.

Cause: LostAtBegin probed on the goroutine of the request, which in package pass also awaits the other attempt, and before the picker was told; so further requests went to the target meanwhile. It also probed after this instance itself had ended the attempt.

Class: work on the path of a request whose result the next step does not need.

Change: Begins holds the lost targets of one request. The picker is told first, then the probes run beside the retry. The request waits for them only where they decide its next step: before a third target, and where the loss would block its parts (WouldBlock). An end by silence, probe, report or deadline is not probed.

Ruled out: a fixed wait for the first probe's answer. It delays each retry at a target that closes its sockets late, and still lets the retry miss the loss that blocks its parts.

Before, TestProbesDoNotDelayRetry: the fastest of all retried requests took 105.384984ms After: passes three times, with -race, as does TestThirdLossBlocksItsRetry, which passed before as well and guards the wait that stays.

--- a/entry/block/block.go
+++ b/entry/block/block.go
@@ -45,10 +45,21 @@
 // Lost records that a target crashed when it had begun to answer a request with some shared parts.
 func (b *Block) Lost(parts []string, target, request string) {
 	b.lossCount.Inc()
-	loss := taint.Loss{ID: taint.LossID{Target: hash(target), Request: hash(request)}, At: time.Now()}
+	loss := newLoss(target, request)
 	b.update(func(book taint.Book) taint.Book { return book.WithLoss(parts, loss) })
 }
 
+// WouldBlock reports whether a request with some shared parts is blocked once Lost was called for it.
+func (b *Block) WouldBlock(parts []string, target, request string) bool {
+	_, ok := b.losses.Load().WithLoss(parts, newLoss(target, request)).Blocked(parts, time.Now())
+	return ok
+}
+
+// newLoss returns the loss of a target now.
+func newLoss(target, request string) taint.Loss {
+	return taint.Loss{ID: taint.LossID{Target: hash(target), Request: hash(request)}, At: time.Now()}
+}
+
 // Digest identifies the losses that are known; it is 0 if there are none.
 func (b *Block) Digest() uint64 {
 	return b.losses.Load().Digest()
--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -56,7 +56,7 @@
 type interrupted struct {
 	cause   string
 	endedBy chain.Ending
-	atBegin bool // the target had begun its answer and sent at most one whole event, and no target had sent more
+	atBegin bool // the target broke off its answer after at most one whole event, and no target had sent more
 }
 
 // callerGone means that the caller no longer takes events.
@@ -194,7 +194,7 @@
 			return interrupted{cause: "response ended before its first event", endedBy: chain.EndedByTarget}
 		case err != nil:
 			end := interruptedBy(ctx, err)
-			end.atBegin = received < 2 && !s.wentOn
+			end.atBegin = end.endedBy == chain.EndedByTarget && received < 2 && !s.wentOn
 			return end
 		case !event.Follows(s.lastEventID, e.ID):
 			return interrupted{cause: fmt.Sprintf("event %s does not follow event %s", e.ID, s.lastEventID), endedBy: chain.EndedByTarget}
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -48,7 +48,7 @@
 	sendCount         int             // attempts whose target may have received the request
 	unsentCount       int             // attempts that did not reach the intended target
 	resumeCount       int             // times the stream went on at another target after its first event
-	beginLosses       int             // targets that crashed when they had begun to answer
+	begins            *send.Begins    // targets that were lost when they had begun to answer
 	wentOn            bool            // whether a target went on after it had begun to answer
 	eventCount        int             // events delivered to the caller
 	lastEventID       string          // id of the last event that the caller has
@@ -110,6 +110,7 @@
 		avoidedTargets: make(map[string]bool),
 		usedAddresses:  make(map[string]bool),
 		lastEventID:    f.LastEvent,
+		begins:         send.NewBegins(sender, c, f),
 	}
 	if service, ok := c.Site.Service(s.service); ok && service.Engine != nil {
 		s.canReplicate = service.Engine.KeepsReplicas && policy.Resumable
@@ -199,15 +200,15 @@
 	case interrupted:
 		s.endedBy = r.endedBy
 		s.sender.Counts.Endings[r.endedBy].Inc()
-		if r.atBegin && s.sender.LostAtBegin(ctx, s.call, s.request, pick.Target) {
-			s.beginLosses++
-		}
 		s.reportFailure(pick, true, r.cause)
+		if r.atBegin {
+			s.begins.BrokenOff(ctx, pick.Target)
+		}
 	}
 	s.avoidedTargets[pick.Target.Name] = true
 	s.mayHaveRun = s.mayHaveRun || mayHaveRun(result)
 	s.logOutcome(pick, result, startedAt)
-	return s.retryOrFinish(result)
+	return s.retryOrFinish(ctx, result)
 }
 
 // holderName returns the name of the target that holds the replica, or an empty name.
@@ -264,7 +265,7 @@
 }
 
 // retryOrFinish returns nil and false if the stream may go on at another target, otherwise its final answer and true.
-func (s *stream) retryOrFinish(result outcome) (chain.Answer, bool) {
+func (s *stream) retryOrFinish(ctx context.Context, result outcome) (chain.Answer, bool) {
 	if r, ok := result.(notRun); ok && (!r.received || r.misdirected) {
 		s.unsentCount++
 		if s.unsentCount <= maxUnsent && (!r.misdirected || s.takeRetry()) {
@@ -273,14 +274,14 @@
 	}
 	reason := ""
 	switch {
-	case s.beginLosses >= send.MaxBeginLosses:
-		reason = "targets crashed when they had begun to answer it"
 	case s.mayHaveRun && !s.policy.Resumable:
 		reason = "its target failed and it may not be resumed"
 	case s.eventCount > 0 && !event.IsNumber(s.lastEventID):
 		reason = "its target failed and its events have no numbers to resume after"
 	case s.sendCount >= s.call.Route.MaxAttempts:
 		reason = "its attempts are used up"
+	case s.begins.Exhausted(ctx):
+		reason = "targets crashed when they had begun to answer it"
 	case !s.takeRetry():
 		reason = "the retry bound is reached"
 	default:
--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -44,7 +44,7 @@
 	current, former  *attempt         // the newest open attempt, and the one before it while that is still open
 	patience         <-chan time.Time // fires when another target may be tried; nil if none may
 	overlap          <-chan time.Time // fires when the former attempt is given up; nil without one
-	beginLosses      int              // targets that crashed when they had begun to answer
+	begins           *send.Begins     // targets that were lost when they had begun to answer
 	hasReservedRetry bool             // whether a retry is counted for the next attempt
 	mayHaveRun       bool             // whether a target may have run the request without a valid answer
 	failedResponse   *chain.Passed    // a target's error response, passed on if no other attempt succeeds
@@ -59,6 +59,7 @@
 		idempotent:     idempotent,
 		service:        c.Route.PickService(rand.Float64()),
 		avoidedTargets: make(map[string]bool),
+		begins:         send.NewBegins(s, c, f),
 	}
 }
 
@@ -135,7 +136,7 @@
 				return answer, true
 			}
 			if u.current == nil {
-				return u.retryOrFinish(result)
+				return u.retryOrFinish(ctx, result)
 			}
 			u.patience = time.After(0) // The other attempt was slow before, so that a third target may be tried at once.
 		case <-u.overlap:
@@ -246,7 +247,7 @@
 }
 
 // retryOrFinish returns nil and false if the request may go to another target, otherwise its final answer and true.
-func (u *unaryCall) retryOrFinish(result outcome) (chain.Answer, bool) {
+func (u *unaryCall) retryOrFinish(ctx context.Context, result outcome) (chain.Answer, bool) {
 	if _, ok := result.(notSent); ok {
 		if u.unsentCount < maxUnsent {
 			return nil, false
@@ -257,12 +258,12 @@
 		return nil, false
 	}
 	switch {
-	case u.beginLosses >= send.MaxBeginLosses:
-		return u.finalAnswer("targets crashed when they had begun to answer it"), true
 	case !u.idempotent && u.mayHaveRun:
 		return u.finalAnswer("its target failed"), true
 	case u.sendCount >= u.call.Route.MaxAttempts:
 		return u.finalAnswer("its attempts are used up"), true
+	case u.begins.Exhausted(ctx):
+		return u.finalAnswer("targets crashed when they had begun to answer it"), true
 	case !u.Reserve():
 		return u.finalAnswer("the retry bound is reached"), true
 	}
@@ -310,12 +311,12 @@
 	case notSent:
 		u.sender.Log.WithFields(fields).WithError(r.err).Info("target did not get the request")
 	case unconfirmed:
-		if errors.Is(r.err, link.ErrBroken) && u.sender.LostAtBegin(ctx, u.call, u.request, a.pick.Target) {
-			u.beginLosses++
-		}
 		if !a.reported {
 			a.pick.Failed()
 		}
+		if errors.Is(r.err, link.ErrBroken) {
+			u.begins.BrokenOff(ctx, a.pick.Target)
+		}
 		u.sender.Log.WithFields(fields).WithError(r.err).Info("no valid response; the request may have run")
 	}
 }
--- a/entry/send/begin.go
+++ b/entry/send/begin.go
@@ -2,18 +2,20 @@
 
 import (
 	"context"
+	"slices"
 	"syscall"
 	"time"
 
+	"bramleywharf.example/core/quota"
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/core/wait"
 	"bramleywharf.example/entry/chain"
 	"github.com/pkg/errors"
 )
 
-// MaxBeginLosses is the number of targets that one request may lose as they begin to answer it. A first loss may be a
+// maxBeginLosses is the number of targets that one request may lose as they begin to answer it. A first loss may be a
 // coincidence.
-const MaxBeginLosses = 2
+const maxBeginLosses = 2
 
 const (
 	// crashProbes is the number of times that a target is probed to find out whether it has crashed.
@@ -23,17 +25,75 @@
 	crashProbeTimeout  = 200 * time.Millisecond // crashProbeTimeout bounds one probe.
 )
 
-// LostAtBegin is called when a response has ended early that a target had begun. It reports whether the target has
-// crashed, and if so records it as a loss of the parts of the prompt. A target that was to end is none, and neither is
-// one that takes connections or does not answer: there the response was cut on its way. Without shared parts nothing is
-// recorded, since no other request would be refused for it.
-func (s *Sender) LostAtBegin(ctx context.Context, c chain.Call, f chain.Forward, target site.Target) bool {
-	parts := f.Prompt.Shared()
-	if len(parts) == 0 || !s.Picker.IsCurrent(target) || !s.hasCrashed(ctx, target) {
+// Begins holds the targets that one request has lost as they began to answer it. One goroutine uses it.
+type Begins struct {
+	sender *Sender
+	id     string   // id is that of the request.
+	parts  []string // parts are those that other requests may have as well.
+	losses []*beginLoss
+}
+
+// beginLoss is the early end of a response that a target had begun.
+type beginLoss struct {
+	target  site.Target
+	probed  chan struct{} // probed is closed when crashed is set.
+	crashed bool
+}
+
+// NewBegins returns the begins of a request that has lost no target.
+func NewBegins(s *Sender, c chain.Call, f chain.Forward) *Begins {
+	return &Begins{sender: s, id: c.ID, parts: f.Prompt.Shared()}
+}
+
+// BrokenOff is called when a target itself has ended a response early that it had begun. It probes the target beside
+// the request, and if it has crashed records it as a loss of the parts of the prompt. A target that was to end is none,
+// and neither is one that takes connections or does not answer: there the response was cut on its way. Without shared
+// parts nothing is recorded, since no other request would be refused for it.
+func (b *Begins) BrokenOff(ctx context.Context, target site.Target) {
+	if len(b.parts) == 0 || ctx.Err() != nil || !b.sender.Picker.IsCurrent(target) {
+		return
+	}
+	loss := &beginLoss{target: target, probed: make(chan struct{})}
+	b.losses = append(b.losses, loss)
+	ctx = quota.Detach(ctx)
+	go func() {
+		defer close(loss.probed)
+		if loss.crashed = b.sender.hasCrashed(ctx, target); loss.crashed {
+			b.sender.Blocks.Lost(b.parts, target.Name, b.id)
+		}
+	}()
+}
+
+// Exhausted reports whether the request has lost as many targets as it may. It waits for probes only if they decide on
+// that, or on whether the request is blocked.
+func (b *Begins) Exhausted(ctx context.Context) bool {
+	b.losses = slices.DeleteFunc(b.losses, (*beginLoss).isRefuted)
+	if len(b.losses) >= maxBeginLosses || slices.ContainsFunc(b.losses, b.wouldBlock) {
+		for _, loss := range b.losses {
+			select {
+			case <-loss.probed:
+			case <-ctx.Done():
+				return true
+			}
+		}
+		b.losses = slices.DeleteFunc(b.losses, (*beginLoss).isRefuted)
+	}
+	return len(b.losses) >= maxBeginLosses
+}
+
+// wouldBlock reports whether the request is blocked once a loss is recorded.
+func (b *Begins) wouldBlock(loss *beginLoss) bool {
+	return b.sender.Blocks.WouldBlock(b.parts, loss.target.Name, b.id)
+}
+
+// isRefuted reports whether the target is known not to have crashed.
+func (l *beginLoss) isRefuted() bool {
+	select {
+	case <-l.probed:
+		return !l.crashed
+	default:
 		return false
 	}
-	s.Blocks.Lost(parts, target.Name, c.ID)
-	return true
 }
 
 // hasCrashed reports whether a target refuses connections.
