block: expired losses are not sent

Operators saw: pulls that carry the losses of parts although no part was lost for an hour, some 12.7 KB each with a full book.

Cause: losses expire only when the book changes. A quiet instance kept them, with its digest; an instance that started later dropped what it was sent, so the digests never agreed.

Class: state that is cleaned up on writes only, compared between instances.

Change: the digest and the list leave out losses that expire within 5 s. That is longer than a message takes, so a loss does not come back to an instance that has dropped it.

--- a/entry/block/block.go
+++ b/entry/block/block.go
@@ -15,6 +15,10 @@
 	"github.com/apex/log"
 )
 
+// expiryMargin is the rest of its life in which a loss is no longer sent. It is longer than a message takes, so that a
+// loss does not come back to an instance that has dropped it.
+const expiryMargin = 5 * time.Second
+
 // Block is the controller of the blocked parts.
 type Block struct {
 	log       log.Interface
@@ -60,14 +64,14 @@
 	return taint.Loss{ID: taint.LossID{Target: hash(target), Request: hash(request)}, At: time.Now()}
 }
 
-// Digest identifies the losses that are known; it is 0 if there are none.
+// Digest identifies the losses that Losses returns; it is 0 if there are none.
 func (b *Block) Digest() uint64 {
-	return b.losses.Load().Digest()
+	return b.current().Digest()
 }
 
-// Losses returns the losses that are known, for another instance.
+// Losses returns the losses that are known and do not expire soon, for another instance.
 func (b *Block) Losses() []wire.PartLosses {
-	all := b.losses.Load().All()
+	all := b.current().All()
 	list := make([]wire.PartLosses, 0, len(all))
 	for _, part := range slices.Sorted(maps.Keys(all)) {
 		record := wire.PartLosses{Part: part}
@@ -79,6 +83,11 @@
 	return list
 }
 
+// current returns the losses that do not expire within the margin.
+func (b *Block) current() taint.Book {
+	return b.losses.Load().Without(time.Now().Add(expiryMargin))
+}
+
 // MergeLosses takes losses from another instance.
 func (b *Block) MergeLosses(list []wire.PartLosses) {
 	if len(list) == 0 {
--- a/entry/block/block_test.go
+++ b/entry/block/block_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bramleywharf.example/core/wire"
@@ -66,3 +67,25 @@
 	c.Assert(b.Losses(), quicktest.HasLen, 1)
 	c.Assert(b.Losses()[0].Losses, quicktest.HasLen, 4)
 }
+
+// TestExpiredLossesAreNotSent guards against instances that keep expired losses and send them to others, which drop them,
+// with each pull.
+func TestExpiredLossesAreNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		time.Sleep(time.Millisecond)
+		c := quicktest.New(t)
+		logger := &log.Logger{Handler: memory.New()}
+		old, young := New(logger, metrics.NewSet()), New(logger, metrics.NewSet())
+		old.Lost([]string{"p"}, "t-1", "r-1")
+		lostAt := time.Now()
+		for time.Since(lostAt) < 6*time.Minute {
+			time.Sleep(250 * time.Millisecond)
+			list := old.Losses()
+			time.Sleep(2 * time.Millisecond)
+			young.MergeLosses(list)
+			c.Assert(young.Digest() == old.Digest(), quicktest.IsTrue, quicktest.Commentf("digests differ %v after the loss", time.Since(lostAt)))
+		}
+		c.Assert(old.Digest(), quicktest.Equals, uint64(0))
+		c.Assert(old.Losses(), quicktest.HasLen, 0)
+	})
+}
