taint: full books keep the same losses on all instances

Operators saw: after a failure domain with more than eight streams of one part was lost, instances sent each other their losses with each pull, without end.

Cause: a part keeps its eight newest losses. The copy of a loss on another instance is later by the time of a message, so of losses that are closer together each instance keeps others, and one that was dropped comes back as a newer one.

Class: a choice that all instances have to make alike, by times of their own.

Change: losses that are not excused come before others, then the order of their ids, which are hashes, decides. The times still order the losses that are kept.

Ruled out: the choice of parts in a book of more than 48 also looks at times, after the number of losses; left, since an order by names could keep a deadly part out for minutes.

--- a/core/taint/taint.go
+++ b/core/taint/taint.go
@@ -244,8 +244,9 @@
 	return losses[len(losses)-1].At
 }
 
-// mergeLosses returns the newest losses of two lists. A loss in both lists has the earlier time of the two, since times
-// that were received include the time of the message.
+// mergeLosses returns the losses of two lists. A loss in both lists has the earlier time of the two, since times that were
+// received include the time of the message. For the same reason their times do not decide which losses are kept if there
+// are too many: instances would keep different ones.
 func mergeLosses(a, b []Loss) []Loss {
 	byID := make(map[LossID]Loss, len(a)+len(b))
 	for _, l := range slices.Concat(a, b) {
@@ -258,7 +259,26 @@
 		byID[l.ID] = l
 	}
 	merged := slices.SortedFunc(maps.Values(byID), func(x, y Loss) int {
-		return cmp.Or(x.At.Compare(y.At), cmp.Compare(x.ID.Target, y.ID.Target), cmp.Compare(x.ID.Request, y.ID.Request))
+		return cmp.Or(compareExcused(x, y), compareIDs(x, y))
 	})
-	return merged[max(0, len(merged)-maxLosses):]
+	merged = merged[:min(len(merged), maxLosses)]
+	slices.SortFunc(merged, func(x, y Loss) int { return cmp.Or(x.At.Compare(y.At), compareIDs(x, y)) })
+	return merged
+}
+
+// compareExcused orders losses that are not excused before those that are.
+func compareExcused(x, y Loss) int {
+	switch {
+	case x.Excused == y.Excused:
+		return 0
+	case x.Excused:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// compareIDs orders losses by their ids, which are hashes.
+func compareIDs(x, y Loss) int {
+	return cmp.Or(cmp.Compare(x.ID.Target, y.ID.Target), cmp.Compare(x.ID.Request, y.ID.Request))
 }
