pass: a target's own failure does not excuse parts

Callers saw: targets went on to crash at requests with a deadly part while others answered such requests with 500; each of these answers released the part.

Cause: any whole answer excused the parts.

Class: an error response taken for a sound one.

Change: a whole answer excuses the parts only if the target has not failed.

Before, TestFailureDoesNotExcuseParts (two losses, a 500, a third loss, then a request): got: int(502) want: int(503) After: passes twice, with -race.

--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -299,8 +299,10 @@
 // recordOutcome logs an outcome other than answered, and tells the picker if the target failed. Targets that could not
 // be reached are reported by the attempt.
 func (u *unaryCall) recordOutcome(ctx context.Context, a *attempt, result outcome) {
-	if _, ok := result.(answered); ok {
-		u.sender.Blocks.Answered(u.request.Prompt.Shared())
+	if r, ok := result.(answered); ok {
+		if !r.response.Failed() {
+			u.sender.Blocks.Answered(u.request.Prompt.Shared())
+		}
 		return
 	}
 	fields := log.Fields{"request": u.call.ID, "target": a.pick.Target.Name, "service": u.service, "sends": u.sendCount}
