block: why blocked parts are not tried

A part of a service without any sound target may be blocked until its losses expire. The package page says why no trial request refreshes the evidence.

--- a/entry/block/doc.go
+++ b/entry/block/doc.go
@@ -2,4 +2,9 @@
 // with a part in their prompts, and blocks the parts that crash targets.
 //
 // Instances exchange the losses with each pull, see package feed.
+//
+// A blocked part is released by the answer to a request that runs already, or
+// as its losses expire. No request is let through to try it: each try may end
+// another target, and over the lifetime of a loss even one each 10 s for the
+// whole fleet would end more than the three that blocking takes.
 package block
