taint: full books keep the same parts on all instances

Cause: of parts with as many losses, a book kept those with the newest, by times that differ among instances.

Class: a choice that all instances have to make alike, by times of their own.

Change: the first id of its losses ranks a part. Ids are hashes, so each new loss gives a part that was left out another chance, which an order by names would not.

Cost: a part's single loss is no longer certain of a place in a full book; a part with two losses ranks before all that have one, as before.

--- a/core/taint/taint.go
+++ b/core/taint/taint.go
@@ -217,7 +217,7 @@
 	names := slices.SortedFunc(maps.Keys(b.parts), func(x, y string) int {
 		return cmp.Or(
 			cmp.Compare(openCount(b.parts[y]), openCount(b.parts[x])),
-			newest(b.parts[y]).Compare(newest(b.parts[x])),
+			compareIDs(firstByID(b.parts[x]), firstByID(b.parts[y])),
 			cmp.Compare(x, y),
 		)
 	})
@@ -239,9 +239,10 @@
 	return count
 }
 
-// newest returns the time of the last loss.
-func newest(losses []Loss) time.Time {
-	return losses[len(losses)-1].At
+// firstByID returns the loss with the first id. As ids are hashes, a part has a chance of a place in a full book with
+// each of its losses, whatever its name.
+func firstByID(losses []Loss) Loss {
+	return slices.MinFunc(losses, compareIDs)
 }
 
 // mergeLosses returns the losses of two lists. A loss in both lists has the earlier time of the two, since times that were
--- a/core/taint/taint_test.go
+++ b/core/taint/taint_test.go
@@ -165,15 +165,26 @@
 // TestFullBooksConverge guards against books that differ for ever since each copy of a loss has a later time than the
 // original: books with more losses than they may hold agree after a few exchanges.
 func TestFullBooksConverge(t *testing.T) {
-	cases := map[string]time.Duration{"at-once": 0, "within-a-message": time.Millisecond, "far-apart": 500 * time.Millisecond}
-	for name, gap := range cases {
+	cases := map[string]struct {
+		gap           time.Duration // gap is the time between two losses.
+		losses, parts int
+		wantParts     int
+		wantLosses    int // wantLosses is the number of losses that are kept of each part.
+	}{
+		"at-once":               {0, 3 * maxLosses, 1, 1, maxLosses},
+		"within-a-message":      {time.Millisecond, 3 * maxLosses, 1, 1, maxLosses},
+		"far-apart":             {500 * time.Millisecond, 3 * maxLosses, 1, 1, maxLosses},
+		"parts-at-once":         {0, 2 * maxParts, 2 * maxParts, maxParts, 1},
+		"parts-within-messages": {time.Millisecond, 2 * maxParts, 2 * maxParts, maxParts, 1},
+	}
+	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
 			const transit = 5 * time.Millisecond
 			books := make([]Book, 5)
-			for i := range 3 * maxLosses {
-				loss := Loss{ID: LossID{uint64(i*7919%101) + 1, uint64(i) + 1}, At: start.Add(time.Duration(i) * gap)}
-				books[i%len(books)] = books[i%len(books)].WithLoss([]string{"p"}, loss)
+			for i := range test.losses {
+				loss := Loss{ID: LossID{uint64(i*7919%101) + 1, uint64(i) + 1}, At: start.Add(time.Duration(i) * test.gap)}
+				books[i%len(books)] = books[i%len(books)].WithLoss([]string{fmt.Sprint("p-", i%test.parts)}, loss)
 			}
 			for round := range 4 * len(books) {
 				for i := range books {
@@ -183,7 +194,10 @@
 				}
 			}
 			for _, b := range books {
-				c.Assert(b.All()["p"], quicktest.HasLen, maxLosses)
+				c.Assert(b.Len(), quicktest.Equals, test.wantParts)
+				for _, losses := range b.All() {
+					c.Assert(losses, quicktest.HasLen, test.wantLosses)
+				}
 				c.Assert(b.Digest(), quicktest.Equals, books[0].Digest())
 			}
 		})
