feed: instances that start together pull at different moments

Callers saw answers after their deadlines, or none, at instances on small machines that many others pull from; others logged "pull from a peer failed" and took the instance for suspect.

Cause: all instances of a fleet that starts at once have their pulls in step, and count them alike. They pull within the same tenth of a second, all from the tree of one kind, and in every fifth pull all exchange load reports at once.

Class: periodic work of many instances in phase. Ruled out: early pulls (without them, as many pulls failed) and the configuration alone, whose rate is bounded.

The first pull at an interval now comes after a random part of the interval, and the count starts at random, so that kinds and exchanges of loads spread.

--- a/entry/feed/spread_test.go
+++ b/entry/feed/spread_test.go
@@ -125,6 +125,8 @@
 	members atomic.Pointer[fleet.Fleet]
 	cut     atomic.Bool // cut loses all messages to and from this instance.
 	sent    sentBytes   // sent holds what the instance sent of the configuration.
+	// sentReports holds what it sent of load reports.
+	sentReports sentBytes
 }
 
 // network delivers messages between instances, with delay and loss.
@@ -154,7 +156,7 @@
 		answer = other.members.Load().Handle(ctx, m)
 	case wire.PullUpdates:
 		answer = other.swap.Handle(m)
-		other.sent.add(answer)
+		other.record(answer)
 	default:
 		return nil, peer.ErrRefused
 	}
@@ -187,6 +189,11 @@
 
 // startFleet starts instances in a number of failure domains before a store with some objects.
 func startFleet(t *testing.T, size, domains int, loss float64, config, targets *memoryStore) *network {
+	return startFleetWith(t, noLoads{}, size, domains, loss, config, targets)
+}
+
+// startFleetWith is startFleet for instances that report loads.
+func startFleetWith(t *testing.T, loads feed.Loads, size, domains int, loss float64, config, targets *memoryStore) *network {
 	n := &network{instances: make(map[string]*instance), loss: loss}
 	logger := &log.Logger{Handler: discard.New()}
 	for number := range size {
@@ -199,7 +206,7 @@
 		i.config = feed.New(feed.Settings{Kind: "config", Pace: 200 * time.Millisecond, Urgent: true}, config, logger, set)
 		i.targets = feed.New(feed.Settings{Kind: "targets", Pace: 400 * time.Millisecond}, targets, logger, set)
 		i.blocks = block.New(logger, set)
-		i.swap = feed.NewSwap(i, noLoads{}, i.blocks, logger, set, i.config, i.targets)
+		i.swap = feed.NewSwap(i, loads, i.blocks, logger, set, i.config, i.targets)
 		t.Cleanup(i.config.Close)
 		t.Cleanup(i.targets.Close)
 	}
--- a/entry/feed/swap.go
+++ b/entry/feed/swap.go
@@ -39,6 +39,8 @@
 	// loadsPerPull is the average number of load reports that a pull may return. It bounds bytes and processor time
 	// in a fleet of any size.
 	loadsPerPull = 18
+	// pullPhases is the number of values with which an instance may start to count its pulls.
+	pullPhases = 1 << 16
 	// joinPulls is the number of pulls in vain after which an instance that starts goes on without its peers.
 	joinPulls = 8
 	// joinInterval is the time between two of them.
@@ -209,6 +211,11 @@
 // loop pulls from a random member at each interval, and early from a peer that reported a newer revision.
 func (s *Swap) loop(ctx context.Context, members Members) {
 	s.join(ctx, members)
+	// Instances that started together would pull at the same moments, of the same kind and with loads, from then on.
+	s.pullCount = rand.IntN(pullPhases)
+	if !wait.Sleep(ctx, rand.N(pullInterval)) {
+		return
+	}
 	ticker := time.NewTicker(pullInterval)
 	defer ticker.Stop()
 	for {
