conns: answers say how long their connection may be reused

Cause: connections that are idle for 15 s are closed here within a second.

Class: two ends that judge by clocks of their own when a connection ends.

Change: Keep-Alive in each answer gives the idle limit less 2 s, for at least half of it; an answer of a leaving instance says that the connection closes, as before.

Not chosen: to close later than the limit, which makes the crossing rarer and does not end it.

Before, without the header, TestCallersAreToldWhenToStopReuse/usual and short fail (no header). After: passes, with -race, twice.

--- a/entry/internal/conns/server.go
+++ b/entry/internal/conns/server.go
@@ -185,9 +185,9 @@
 			panic(http.ErrAbortHandler)
 		}
 		defer s.reportCut(c, r)
-		guarded := &writer{ResponseWriter: w, leaving: &s.leaving}
+		guarded := &writer{ResponseWriter: w, server: s}
 		next.ServeHTTP(guarded, r)
-		guarded.announceClose()
+		guarded.announce()
 	})
 }
 
--- a/entry/internal/conns/writer.go
+++ b/entry/internal/conns/writer.go
@@ -3,32 +3,37 @@
 import (
 	"fmt"
 	"net/http"
-	"sync/atomic"
+	"time"
 )
 
-// writer announces in the head of an answer that its connection closes if the server is leaving by then.
+// reuseMargin is the part of the idle limit in which callers no longer reuse a connection. The limit runs from the end
+// of the answer here, and a caller counts from its arrival there; a request also takes its time on the way.
+const reuseMargin = 2 * time.Second
+
+// writer announces in the head of an answer how long its connection may be reused, or that it closes if the server is
+// leaving by then.
 type writer struct {
 	http.ResponseWriter
-	leaving *atomic.Bool
+	server *Server
 }
 
 // WriteHeader sends the head of the answer.
 func (w *writer) WriteHeader(status int) {
 	if status >= http.StatusOK {
-		w.announceClose()
+		w.announce()
 	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write sends a part of the body, after the head.
 func (w *writer) Write(b []byte) (int, error) {
-	w.announceClose()
+	w.announce()
 	return w.ResponseWriter.Write(b)
 }
 
 // FlushError sends what is buffered, after the head.
 func (w *writer) FlushError() error {
-	w.announceClose()
+	w.announce()
 	if err := http.NewResponseController(w.ResponseWriter).Flush(); err != nil {
 		return fmt.Errorf("flush answer: %w", err)
 	}
@@ -40,9 +45,19 @@
 	return w.ResponseWriter
 }
 
-// announceClose has no effect once the head is sent.
-func (w *writer) announceClose() {
-	if w.leaving.Load() {
+// announce has no effect once the head is sent.
+func (w *writer) announce() {
+	if w.server.leaving.Load() {
+		w.Header().Del("Keep-Alive")
 		w.Header().Set("Connection", "close")
+		return
+	}
+	if seconds := reuseTime(w.server.settings.IdleLimit()) / time.Second; seconds > 0 {
+		w.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%d", seconds))
 	}
 }
+
+// reuseTime returns how long a caller may reuse an idle connection under an idle limit, or 0 if it is not to be told.
+func reuseTime(limit time.Duration) time.Duration {
+	return max(limit-reuseMargin, limit/2)
+}
