flight, offer, guard: a silent stream keeps its target until another one takes it

Callers saw: a stream that paused for a second was cut, or its prompt read anew, although its target was sound: it was given up when another target was known, and that one then refused. A stream that had lost its target used up its attempts within a second at full targets.

Cause: the first attempt ended before the next target had accepted.

Change: offer is one send to a target, whose response is read step by step, so that flight can wait for two at a time; the silent one ends when the other accepts, and stays if that one refuses. Refused offers are spaced by 200 to 800 ms (retry.Spacing). guard holds the monitor and the replicas of a stream, which were part of flight; ends by silence are no evidence against parts of the prompt.

Ruled out: a longer silence before the prompt is read anew.

Before, TestSilentStreamIsNotCutForTargetsThatRefuse and TestStreamOutlastsRefusals fail: the stream is cut after its attempts. After: they pass with -race.

--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -3,33 +3,19 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"mime"
 	"time"
 
 	"bramleywharf.example/core/flow"
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/event"
-	"bramleywharf.example/entry/link"
+	"bramleywharf.example/entry/guard"
+	"bramleywharf.example/entry/offer"
 	"bramleywharf.example/entry/picker"
 	"bramleywharf.example/entry/send"
 	"github.com/pkg/errors"
 )
 
-const (
-	// progressCheckDelay is the wait for the first event after which the target's report is read instead of a probe;
-	// most prompts are read by then.
-	progressCheckDelay   = 2200 * time.Millisecond
-	progressCheckTimeout = 400 * time.Millisecond // progressCheckTimeout bounds the request for that report.
-	// reportLag is the age from which a request must be in its target's report; reports are some hundred
-	// milliseconds old.
-	reportLag     = 700 * time.Millisecond
-	checkInterval = 40 * time.Millisecond // checkInterval is how often a monitor checks its attempt.
-	// eventStreamType is the media type of streams.
-	eventStreamType = "text/event-stream"
-)
-
 // outcome is the sealed set of ways in which an attempt ends: completed, wholeResponse, notRun, interrupted and
 // callerGone.
 type outcome interface {
@@ -48,7 +34,6 @@
 type notRun struct {
 	received    bool // a target received the request and refused it
 	misdirected bool // another target has the address and refused; the intended one has ended
-	unreachable bool // the target could not be reached
 	cause       string
 }
 
@@ -70,172 +55,168 @@
 
 // attempt runs a stream at one target.
 type attempt struct {
-	stream  *stream
-	pick    *picker.Pick
-	monitor *monitor
-	reply   *link.Reply
-	source  send.Source
-	holder  site.Target // target that keeps a replica of this attempt, or the zero value
+	pick      *picker.Pick
+	offer     *offer.Offer
+	monitor   *guard.Monitor
+	replica   *guard.Replica // replica that the attempt starts from, or nil
+	holder    site.Target    // target that keeps a replica of this attempt, or the zero value
+	startedAt time.Time
+	isRepeat  bool           // whether a retry was counted for the attempt
+	isCounted bool           // whether the attempt counts as one more target of the request
+	accepted  offer.Accepted // response of a target that has begun to answer
+	hasBegun  bool           // whether the target has begun to answer
+	received  int            // events that were received
+	isSuspect bool           // whether the target was reported as lost although the attempt goes on
+}
+
+// steps returns the channel of the attempt's steps, or nil for no attempt.
+func (a *attempt) steps() <-chan offer.Step {
+	if a == nil {
+		return nil
+	}
+	return a.offer.Steps()
+}
+
+// silences returns the channel on which the attempt's monitor reports, or nil for no attempt.
+func (a *attempt) silences() <-chan guard.Silence {
+	if a == nil {
+		return nil
+	}
+	return a.monitor.Silences()
 }
 
-// tryTarget runs the stream at one target, from a replica unless source is the zero value.
-func (s *stream) tryTarget(ctx context.Context, pick *picker.Pick, source send.Source) outcome {
-	s.attemptDelivered = false
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	monitor := startMonitor(ctx, s, pick, source != send.Source{}, cancel)
-	defer monitor.stop()
-	outgoing := send.Send{Call: s.call, Target: pick.Target, Left: time.Until(s.request.Deadline), After: s.lastEventID, Source: source}
-	var holder site.Target
-	if s.canReplicate {
-		holder, _ = s.chooseHolder(pick.Target, "")
-		outgoing.Backup = holder.Address
+// open starts an attempt at a target, from a replica unless that is nil.
+func (s *stream) open(ctx context.Context, pick *picker.Pick, from *guard.Replica) *attempt {
+	a := &attempt{pick: pick, replica: from, startedAt: time.Now(), isRepeat: s.hasReservedRetry, isCounted: !s.removeRefuser(pick.Target)}
+	s.hasReservedRetry = false
+	if a.isCounted {
+		s.sendCount++
 	}
+	outgoing := send.Send{Call: s.call, Target: pick.Target, Left: time.Until(s.request.Deadline), After: s.lastEventID}
+	if from != nil {
+		outgoing.Source = from.Source
+	}
+	a.holder, _ = s.replicas.ChooseHolder(pick.Target, "")
+	outgoing.Backup = a.holder.Address
 	// A kept connection may still return a copy of the response to the same id; a new one cannot.
 	fresh := s.usedAddresses[pick.Target.Address]
 	s.usedAddresses[pick.Target.Address] = true
-	s.sender.Counts.Sends.Inc()
-	reply, err := s.sender.Link.Send(ctx, s.sender.Outgoing(outgoing, s.request, fresh))
-	var notSentErr *link.NotSentError
-	if errors.As(err, &notSentErr) {
-		s.sender.Counts.Unsent.Inc()
-		return notRun{unreachable: true, cause: err.Error()}
-	}
-	s.sendCount++
-	if err != nil {
-		return interruptedBy(ctx, err)
-	}
-	defer reply.Close()
-	a := &attempt{stream: s, pick: pick, monitor: monitor, reply: reply, source: source, holder: holder}
-	return a.handleResponse(ctx)
+	a.monitor = guard.Start(ctx, guard.Subject{
+		Sender:       s.sender,
+		Call:         s.call,
+		Service:      s.service,
+		Pick:         pick,
+		PromptTokens: s.request.Prompt.Tokens(),
+		FromReplica:  from != nil,
+		Resumable:    s.policy.Resumable,
+		Replicas:     s.replicas,
+	})
+	a.offer = offer.Start(ctx, s.sender, pick, outgoing, s.request, fresh)
+	return a
 }
 
-// chooseHolder chooses the target that keeps a replica of the stream while runner runs it. The target named by refused
-// is left out.
-func (s *stream) chooseHolder(runner site.Target, refused string) (site.Target, bool) {
-	want := s.want()
-	want.Avoid = map[string]bool{runner.Name: true, refused: true}
-	for name := range s.avoidedTargets {
-		want.Avoid[name] = true
-	}
-	return s.sender.Picker.Backup(want, runner.Domain)
+// close ends an attempt. It returns a step of its offer that was not handled, or nil.
+func (a *attempt) close() offer.Step {
+	a.monitor.Stop()
+	step := a.offer.Close()
+	a.pick.Release()
+	return step
 }
 
-// interruptedBy returns the outcome of an attempt whose connection ended with err. The cause is that of the context if
-// it has ended.
-func interruptedBy(ctx context.Context, err error) interrupted {
-	cause := context.Cause(ctx)
+// interruptedBy returns the outcome of an attempt that err has ended: the reason why it was given up, or the end of its
+// connection.
+func interruptedBy(err error) interrupted {
 	switch {
-	case cause == nil:
-		return interrupted{cause: err.Error(), endedBy: chain.EndedByTarget}
-	case errors.Is(cause, errUnreachable):
-		return interrupted{cause: cause.Error(), endedBy: chain.EndedByProbe}
-	case errors.Is(cause, errStreamLost):
-		return interrupted{cause: cause.Error(), endedBy: chain.EndedByReport}
+	case errors.Is(err, guard.ErrUnreachable):
+		return interrupted{cause: err.Error(), endedBy: chain.EndedByProbe}
+	case errors.Is(err, guard.ErrStreamLost):
+		return interrupted{cause: err.Error(), endedBy: chain.EndedByReport}
+	case errors.Is(err, guard.ErrStalled):
+		return interrupted{cause: err.Error(), endedBy: chain.EndedBySilence}
 	default:
-		return interrupted{cause: cause.Error(), endedBy: chain.EndedBySilence}
+		return interrupted{cause: err.Error(), endedBy: chain.EndedByTarget}
 	}
 }
 
-// handleResponse reads the response of the target and relays its events.
-func (a *attempt) handleResponse(ctx context.Context) outcome {
-	s, reply := a.stream, a.reply
-	switch v := s.sender.Dialect.Judge(reply.Status(), reply.Header()).(type) {
-	case send.NotRun:
-		_, _ = reply.Whole() // The body is not needed; reading it lets the connection be reused.
-		s.swapReplica(nil)
-		if v.Misdirected {
-			// The intended target has ended, so it does not count as one that may have received the request.
-			s.sendCount--
-			s.sender.Misdirected(ctx, s.call, a.pick, v.Holder)
+// advance handles a step of an attempt. It returns the outcome if that was the last one, otherwise nil.
+func (s *stream) advance(a *attempt, step offer.Step) outcome {
+	switch r := step.(type) {
+	case offer.NotRun:
+		return notRun{received: r.Received, misdirected: r.Misdirected, cause: r.Cause}
+	case offer.Answered:
+		return wholeResponse{response: chain.Passed{Head: r.Head, Body: r.Body, Sends: s.sendCount + s.unsentCount}}
+	case offer.Accepted:
+		if foreign := r.ForeignType(); s.headSent.Load() && foreign != "" {
+			return interruptedBy(errors.Errorf("response to a resumed stream is of type %s", foreign))
 		}
-		return notRun{received: true, misdirected: v.Misdirected, cause: fmt.Sprintf("status %d", reply.Status())}
-	case send.Unsigned:
-		return interrupted{cause: fmt.Sprintf("response with status %d has no signature", reply.Status()), endedBy: chain.EndedByTarget}
-	}
-	head := chain.Head{Status: reply.Status(), Header: s.sender.Dialect.Response(reply.Header())}
-	if reply.Status() != 200 {
-		body, err := reply.Whole()
-		if err != nil {
-			return interruptedBy(ctx, err)
+		a.accepted, a.hasBegun = r, true
+		s.replicas.Discard(a.replica) // It can be used once.
+	case offer.Event:
+		if result := s.relay(a, r); result != nil {
+			return result
 		}
-		return wholeResponse{response: chain.Passed{Head: head, Body: body, Sends: s.sendCount + s.unsentCount}}
-	}
-	if mediaType := a.mediaType(); s.headSent.Load() && mediaType != "" && mediaType != eventStreamType {
-		return interrupted{cause: fmt.Sprintf("response to a resumed stream is of type %s", mediaType), endedBy: chain.EndedByTarget}
+	case offer.End:
+		if !s.isEnd(a) {
+			return interruptedBy(errors.New("response ended before its first event"))
+		}
+		s.sender.Blocks.Answered(s.request.Prompt.Shared())
+		return completed{}
+	case offer.Broken:
+		end := interruptedBy(r.Err)
+		end.atBegin = end.endedBy == chain.EndedByTarget && a.isAtBegin() && !s.wentOn
+		return end
 	}
-	return a.relayEvents(ctx, head)
+	a.offer.Ask()
+	return nil
 }
 
-// mediaType returns the media type of the response, or an empty text if it states none.
-func (a *attempt) mediaType() string {
-	mediaType, _, _ := mime.ParseMediaType(a.reply.Header().Get("Content-Type"))
-	return mediaType
+// isAtBegin reports whether the target has begun to answer and sent at most one whole event.
+func (a *attempt) isAtBegin() bool {
+	return a.hasBegun && a.received < 2
 }
 
 // isEnd reports whether the end of the response is that of the stream. A response without an event that resumes a
 // stream is taken for its end only if it says so itself: an empty list of events with a stated length.
-func (a *attempt) isEnd() bool {
-	s := a.stream
-	return s.attemptDelivered || s.headSent.Load() && a.reply.Delimited() && a.mediaType() == eventStreamType
+func (s *stream) isEnd(a *attempt) bool {
+	return a.received > 0 || s.headSent.Load() && a.accepted.StatesLength()
 }
 
-// relayEvents delivers whole events to the caller until the response ends.
-func (a *attempt) relayEvents(ctx context.Context, head chain.Head) outcome {
-	s := a.stream
-	reader := event.NewReader(a.reply)
-	for received := 0; ; received++ {
-		e, err := reader.Next()
-		switch {
-		case err == io.EOF && a.isEnd():
-			s.sender.Blocks.Answered(s.request.Prompt.Shared())
-			return completed{}
-		case err == io.EOF:
-			return interrupted{cause: "response ended before its first event", endedBy: chain.EndedByTarget}
-		case err != nil:
-			end := interruptedBy(ctx, err)
-			end.atBegin = end.endedBy == chain.EndedByTarget && received < 2 && !s.wentOn
-			return end
-		case !event.Follows(s.lastEventID, e.ID):
-			return interrupted{cause: fmt.Sprintf("event %s does not follow event %s", e.ID, s.lastEventID), endedBy: chain.EndedByTarget}
-		}
-		a.monitor.recordEvent()
-		if received == 0 {
-			a.pick.Read()
-			a.pick.Heard()
-			s.countResume(a.source)
-			s.trackReplica(a.holder)
-		}
-		if received == 1 {
-			s.wentOn = true
-			s.sender.Blocks.Answered(s.request.Prompt.Shared())
-		}
-		if err := s.deliver(head, e); err != nil {
-			return callerGone{}
+// relay delivers an event to the caller. It returns the outcome if that ends the attempt, otherwise nil.
+func (s *stream) relay(a *attempt, e offer.Event) outcome {
+	if !event.Follows(s.lastEventID, e.ID) {
+		return interruptedBy(errors.Errorf("event %s does not follow event %s", e.ID, s.lastEventID))
+	}
+	a.monitor.RecordEvent()
+	if a.isSuspect {
+		a.isSuspect = false
+		a.pick.Heard()
+	}
+	switch a.received {
+	case 0:
+		a.pick.Read()
+		a.pick.Heard()
+		s.countResume(a)
+		if a.holder.Name != "" {
+			s.replicas.Track(a.holder)
 		}
+	case 1:
+		s.wentOn = true
+		s.sender.Blocks.Answered(s.request.Prompt.Shared())
 	}
-}
-
-// trackReplica records the replica at the holder, which the running engine keeps up to date from its first event on.
-func (s *stream) trackReplica(holder site.Target) {
-	if holder.Name == "" {
-		return
+	if err := s.deliver(a, e); err != nil {
+		return callerGone{}
 	}
-	s.swapReplica(&replica{
-		holder:  holder,
-		source:  send.Source{Address: holder.Address, Handle: s.call.ID},
-		release: s.sender.Picker.Keep(holder),
-	})
+	return nil
 }
 
 // countResume counts a stream that went on at another target, by whether it did so from a replica.
-func (s *stream) countResume(source send.Source) {
+func (s *stream) countResume(a *attempt) {
 	if !s.headSent.Load() {
 		return
 	}
 	s.resumeCount++
 	s.sender.Counts.Resume.Update(time.Since(s.lastEventAt).Seconds())
-	if source == (send.Source{}) {
+	if a.replica == nil {
 		s.sender.Counts.Rereads.Inc()
 		return
 	}
@@ -244,15 +225,15 @@
 
 // deliver sends one event to the caller, after the head of the response if that was not sent yet. The pause before
 // the first event of an attempt says nothing about the pace of the engine and does not change its estimate.
-func (s *stream) deliver(head chain.Head, e event.Event) error {
+func (s *stream) deliver(a *attempt, e offer.Event) error {
 	if !s.headSent.Load() {
-		if err := s.request.Outlet.Begin(head); err != nil {
-			return err
+		if err := s.request.Outlet.Begin(a.accepted.Head); err != nil {
+			return fmt.Errorf("send head: %w", err)
 		}
 		s.headSent.Store(true)
 	}
 	if err := s.request.Outlet.Event(e.Raw); err != nil {
-		return err
+		return fmt.Errorf("send event: %w", err)
 	}
 	now := time.Now()
 	if s.lastEventAt.IsZero() {
@@ -262,11 +243,12 @@
 		gap := now.Sub(s.lastEventAt)
 		s.longestGap = max(s.longestGap, gap)
 		s.sender.Counts.Pause.Update(gap.Seconds())
-		if s.attemptDelivered {
+		if a.received > 0 {
 			s.sender.Learn(s.service, func(p flow.PauseEstimate) flow.PauseEstimate { return p.WithPause(gap) })
 		}
 	}
-	s.lastEventAt, s.attemptDelivered = now, true
+	s.lastEventAt = now
+	a.received++
 	s.eventCount++
 	if e.ID != "" {
 		s.lastEventID = e.ID
--- /dev/null
+++ b/entry/flight/ending.go
@@ -0,0 +1,167 @@
+package flight
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"bramleywharf.example/core/deny"
+	"bramleywharf.example/entry/chain"
+	"bramleywharf.example/entry/send"
+	"github.com/apex/log"
+)
+
+// settle records how an attempt ended. It returns the answer to the caller and true, or nil and false if the stream may
+// go on.
+func (s *stream) settle(ctx context.Context, a *attempt, result outcome) (chain.Answer, bool) {
+	s.uncount(a, result)
+	s.replicas.Discard(a.replica)
+	if _, done := result.(completed); !done && ctx.Err() != nil {
+		s.mayHaveRun = s.mayHaveRun || mayHaveRun(result) || s.current != nil
+		return s.giveUp(ctx, "time is up"), true
+	}
+	switch r := result.(type) {
+	case completed:
+		return chain.Finished{Events: s.eventCount, Resumed: s.resumeCount, First: s.firstEventDelay, Pause: s.longestGap}, true
+	case wholeResponse:
+		if !s.headSent.Load() && !(r.response.Failed() && s.policy.Resumable) {
+			return r.response, true
+		}
+		a.pick.Failed()
+		s.failedResponse = &r.response
+	case callerGone:
+		return chain.Left{}, true
+	case notRun:
+		s.settleRefusal(a, r)
+	case interrupted:
+		s.endedBy = r.endedBy
+		s.sender.Counts.Endings[r.endedBy].Inc()
+		a.pick.Lost(r.cause)
+		if r.atBegin {
+			s.begins.BrokenOff(ctx, a.pick.Target)
+		}
+	}
+	s.avoid(a.pick.Target)
+	s.mayHaveRun = s.mayHaveRun || mayHaveRun(result)
+	s.logOutcome(a, result)
+	return nil, false
+}
+
+// uncount takes back the count of an attempt whose target did not receive the request, and keeps its retry for another.
+func (s *stream) uncount(a *attempt, result outcome) {
+	r, ok := result.(notRun)
+	if !ok || r.received && !r.misdirected {
+		return
+	}
+	s.unsentCount++
+	if a.isCounted {
+		s.sendCount--
+	}
+	if !r.received {
+		s.hasReservedRetry = s.hasReservedRetry || a.isRepeat
+	}
+}
+
+// settleRefusal records that a target could not be reached or refused the stream without running it.
+func (s *stream) settleRefusal(a *attempt, r notRun) {
+	if !r.received {
+		a.pick.Lost(r.cause)
+		return
+	}
+	a.pick.Failed()
+	if !r.misdirected {
+		s.addRefuser(a.pick.Target)
+	}
+}
+
+// mayHaveRun reports whether a target may have run the request in an attempt.
+func mayHaveRun(result outcome) bool {
+	_, didNotRun := result.(notRun)
+	return !didNotRun
+}
+
+// retryOrFinish returns nil and false if the stream may go on at another target after its last open attempt has ended,
+// otherwise its final answer and true.
+func (s *stream) retryOrFinish(ctx context.Context, result outcome) (chain.Answer, bool) {
+	if r, ok := result.(notRun); ok && (!r.received || r.misdirected) && s.unsentCount <= maxUnsent && (!r.misdirected || s.reserveRetry()) {
+		return nil, false
+	}
+	reason := ""
+	switch {
+	case s.mayHaveRun && !s.policy.Resumable:
+		reason = "its target failed and it may not be resumed"
+	case !s.hasOrder():
+		reason = "its target failed and its events have no numbers to resume after"
+	case !s.hasAttemptsLeft() && !s.mayAskRefusers():
+		reason = "its attempts are used up"
+	case s.begins.Exhausted(ctx):
+		reason = "targets crashed when they had begun to answer it"
+	case !s.reserveRetry():
+		reason = "the retry bound is reached"
+	default:
+		s.waitAfterRefusal(ctx, result)
+		return nil, false
+	}
+	return s.finalAnswer(reason), true
+}
+
+// finalAnswer returns the answer of a stream that does not go on at another target.
+func (s *stream) finalAnswer(reason string) chain.Answer {
+	switch {
+	case s.headSent.Load():
+		s.sender.Counts.Severed.Inc()
+		return chain.Severed{Reason: reason, EndedBy: s.endedBy}
+	case s.failedResponse != nil:
+		return *s.failedResponse
+	case s.mayHaveRun && !s.policy.Resumable:
+		return send.Unknown(deny.KindOutcome, "%s; the request may have run", reason)
+	case s.mayHaveRun:
+		return send.Unknown(deny.KindOutcome, "%s", reason)
+	default:
+		return send.Unavailable(streamRetryAfter, "%s", reason)
+	}
+}
+
+// giveUp returns the answer when time is up, the caller has left or no target is available.
+func (s *stream) giveUp(ctx context.Context, reason string) chain.Answer {
+	switch {
+	case ctx.Err() == nil:
+		return s.finalAnswer(reason)
+	case hasTimeLeft(ctx):
+		return chain.Left{}
+	case s.headSent.Load() || s.failedResponse != nil || !s.mayHaveRun:
+		return s.finalAnswer(reason)
+	default:
+		return send.Unknown(deny.KindTimeout, "no event in time")
+	}
+}
+
+// logOutcome logs why an attempt did not complete the stream.
+func (s *stream) logOutcome(a *attempt, result outcome) {
+	fields := log.Fields{
+		"request":  s.call.ID,
+		"target":   a.pick.Target.Name,
+		"domain":   a.pick.Target.Domain,
+		"service":  s.service,
+		"sends":    s.sendCount,
+		"events":   s.eventCount,
+		"last":     s.lastEventID,
+		"after-ms": time.Since(a.startedAt).Milliseconds(),
+		"holder":   s.replicas.HolderName(),
+	}
+	switch r := result.(type) {
+	case notRun:
+		s.sender.Log.WithFields(fields).WithField("cause", r.cause).Info("target did not run the stream")
+	case interrupted:
+		if !s.lastEventAt.IsZero() {
+			fields["silence-ms"] = time.Since(s.lastEventAt).Milliseconds()
+		}
+		fields["ended-by"] = string(r.endedBy)
+		if r.atBegin {
+			fields["parts"] = strings.Join(s.request.Prompt.Shared(), ",")
+		}
+		s.sender.Log.WithFields(fields).WithField("cause", r.cause).Info("stream ended before its last event")
+	case wholeResponse:
+		s.sender.Log.WithFields(fields).WithField("status", r.response.Head.Status).Info("target answered without a stream")
+	}
+}
--- a/entry/flight/ending_test.go
+++ b/entry/flight/ending_test.go
@@ -1,10 +1,10 @@
 package flight
 
 import (
-	"context"
 	"testing"
 
 	"bramleywharf.example/entry/chain"
+	"bramleywharf.example/entry/guard"
 	"github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 )
@@ -13,22 +13,17 @@
 func TestOwnDecisionIsToldFromTarget(t *testing.T) {
 	broken := errors.New("unexpected EOF")
 	cases := map[string]struct {
-		cancelled error // cancelled is the error with which the attempt was cancelled, or nil.
-		want      outcome
+		err  error
+		want outcome
 	}{
-		"broken-off": {nil, interrupted{cause: broken.Error(), endedBy: chain.EndedByTarget}},
-		"silence":    {errStalled, interrupted{cause: errStalled.Error(), endedBy: chain.EndedBySilence}},
-		"probe":      {errUnreachable, interrupted{cause: errUnreachable.Error(), endedBy: chain.EndedByProbe}},
-		"report":     {errStreamLost, interrupted{cause: errStreamLost.Error(), endedBy: chain.EndedByReport}},
+		"broken-off": {broken, interrupted{cause: broken.Error(), endedBy: chain.EndedByTarget}},
+		"silence":    {guard.ErrStalled, interrupted{cause: guard.ErrStalled.Error(), endedBy: chain.EndedBySilence}},
+		"probe":      {guard.ErrUnreachable, interrupted{cause: guard.ErrUnreachable.Error(), endedBy: chain.EndedByProbe}},
+		"report":     {guard.ErrStreamLost, interrupted{cause: guard.ErrStreamLost.Error(), endedBy: chain.EndedByReport}},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			ctx, cancel := context.WithCancelCause(t.Context())
-			defer cancel(nil)
-			if test.cancelled != nil {
-				cancel(test.cancelled)
-			}
-			quicktest.Assert(t, interruptedBy(ctx, broken), quicktest.Equals, test.want)
+			quicktest.Assert(t, interruptedBy(test.err), quicktest.Equals, test.want)
 		})
 	}
 }
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -3,18 +3,18 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
 	"sync/atomic"
 	"time"
 
-	"bramleywharf.example/core/deny"
+	"bramleywharf.example/core/retry"
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/core/wait"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/event"
+	"bramleywharf.example/entry/guard"
+	"bramleywharf.example/entry/offer"
 	"bramleywharf.example/entry/picker"
 	"bramleywharf.example/entry/send"
-	"github.com/apex/log"
 	"github.com/pkg/errors"
 )
 
@@ -32,44 +32,40 @@
 	targetPollInterval = 50 * time.Millisecond // targetPollInterval is the delay between two tries to get a target.
 )
 
-// stream is the state of one streamed request over all its attempts. One goroutine owns it; others change only the
-// atomic fields.
+// stream is the state of one streamed request over all its attempts. One goroutine owns it; others use only the atomic
+// fields and those that never change.
 type stream struct {
-	sender            *send.Sender
-	call              chain.Call
-	request           chain.Forward
-	policy            site.Stream
-	service           string
-	canReplicate      bool            // whether the stream is resumable and targets keep replicas for each other
-	memoryTokens      int             // capacity of one target in tokens, or 0
-	replicaRefreshAge time.Duration   // age at which an ordered replica is ordered again
-	avoidedTargets    map[string]bool // names of the targets that failed an attempt
-	usedAddresses     map[string]bool // addresses that the request was sent to
-	sendCount         int             // attempts whose target may have received the request
-	unsentCount       int             // attempts that did not reach the intended target
-	resumeCount       int             // times the stream went on at another target after its first event
-	begins            *send.Begins    // targets that were lost when they had begun to answer
-	wentOn            bool            // whether a target went on after it had begun to answer
-	eventCount        int             // events delivered to the caller
-	lastEventID       string          // id of the last event that the caller has
-	headSent          atomic.Bool     // whether the caller has the head of the response
-	mayHaveRun        bool            // whether a target may have run the request
-	hasReservedRetry  bool            // whether a retry is reserved; set by the monitor before it ends the attempt
-	endedBy           chain.Ending    // what ended the last interrupted attempt, or empty
-	failedResponse    *chain.Passed   // a target's error response, passed on if no other attempt succeeds
-	replica           atomic.Pointer[replica]
-	lastEventAt       time.Time     // when the last event was delivered
-	attemptDelivered  bool          // whether the current attempt has delivered an event
-	firstEventDelay   time.Duration // time from the arrival of the request to the first event
-	longestGap        time.Duration // longest time between two events
-}
-
-// replica is a copy of a stream's prompt memory at another target than the one that runs it.
-type replica struct {
-	holder    site.Target // target that keeps the replica
-	source    send.Source // where another target gets it from
-	orderedAt time.Time   // zero for a replica that the running target keeps up to date from its first event on
-	release   func()      // removes the replica from the picker's load of its holder
+	sender           *send.Sender
+	call             chain.Call
+	request          chain.Forward
+	policy           site.Stream
+	service          string
+	memoryTokens     int                   // capacity of one target in tokens, or 0
+	avoided          atomic.Pointer[names] // targets that failed an attempt; also read by monitors
+	current          *attempt              // attempt whose events the caller gets, or nil
+	next             *attempt              // attempt that may take the place of current, or nil
+	overlap          <-chan time.Time      // fires when next takes that place in any case; nil without next
+	silence          guard.Silence         // why next was opened
+	spacing          retry.Spacing         // time to leave between the offers that are refused
+	nextOfferAt      time.Time             // time before which no other target is offered the stream
+	refusers         []site.Target         // targets whose last answer to the stream was a refusal, the latest one last
+	usedAddresses    map[string]bool       // addresses that the request was sent to
+	sendCount        int                   // attempts whose target may have received the request
+	unsentCount      int                   // attempts that did not reach the intended target
+	resumeCount      int                   // times the stream went on at another target after its first event
+	begins           *send.Begins          // targets that were lost when they had begun to answer
+	wentOn           bool                  // whether a target went on after it had begun to answer
+	eventCount       int                   // events delivered to the caller
+	lastEventID      string                // id of the last event that the caller has
+	headSent         atomic.Bool           // whether the caller has the head of the response
+	mayHaveRun       bool                  // whether a target may have run the request
+	hasReservedRetry bool                  // whether a retry is reserved for the next attempt
+	endedBy          chain.Ending          // what ended the last interrupted attempt, or empty
+	failedResponse   *chain.Passed         // a target's error response, passed on if no other attempt succeeds
+	replicas         *guard.Replicas
+	lastEventAt      time.Time     // when the last event was delivered
+	firstEventDelay  time.Duration // time from the arrival of the request to the first event
+	longestGap       time.Duration // longest time between two events
 }
 
 // Run runs a stream until it is complete, refused or interrupted for good, or its caller has left.
@@ -102,31 +98,33 @@
 // newStream returns a stream whose request has not been sent.
 func newStream(sender *send.Sender, c chain.Call, f chain.Forward, policy site.Stream) *stream {
 	s := &stream{
-		sender:         sender,
-		call:           c,
-		request:        f,
-		policy:         policy,
-		service:        c.Route.PickService(rand.Float64()),
-		avoidedTargets: make(map[string]bool),
-		usedAddresses:  make(map[string]bool),
-		lastEventID:    f.LastEvent,
-		begins:         send.NewBegins(sender, c, f),
+		sender:        sender,
+		call:          c,
+		request:       f,
+		policy:        policy,
+		service:       c.Route.PickService(rand.Float64()),
+		usedAddresses: make(map[string]bool),
+		lastEventID:   f.LastEvent,
+		begins:        send.NewBegins(sender, c, f),
 	}
+	s.avoided.Store(&names{})
+	keepsReplicas, replicaTTL := false, time.Duration(0)
 	if service, ok := c.Site.Service(s.service); ok && service.Engine != nil {
-		s.canReplicate = service.Engine.KeepsReplicas && policy.Resumable
 		s.memoryTokens = service.Engine.CapacityTokens
-		s.replicaRefreshAge = time.Duration(replicaRefreshRatio * float64(service.Engine.ReplicaTTL))
+		keepsReplicas, replicaTTL = service.Engine.KeepsReplicas && policy.Resumable, service.Engine.ReplicaTTL
 	}
+	s.replicas = guard.NewReplicas(sender, c, s.want, keepsReplicas, replicaTTL)
 	return s
 }
 
 // run sends the request to one target after another until the stream is complete or may not go on.
 func (s *stream) run(ctx context.Context) chain.Answer {
 	s.sender.Request(s.service)
-	defer s.freeReplica(ctx)
+	defer s.replicas.Free(ctx)
 	defer s.returnRetry()
+	defer s.closeAttempts()
 	for {
-		pick, source, ok := s.chooseTarget(ctx)
+		pick, from, ok := s.chooseTarget(ctx)
 		if !ok {
 			return s.giveUp(ctx, "no target of the service is left")
 		}
@@ -134,128 +132,124 @@
 			pick.Release()
 			return s.finalAnswer("a part of its prompt crashes targets")
 		}
-		startedAt := time.Now()
-		result := s.tryTarget(ctx, pick, source)
-		pick.Release()
-		if answer, done := s.handleOutcome(ctx, pick, result, startedAt); done {
-			return answer
+		s.current = s.open(ctx, pick, from)
+		for s.current != nil {
+			if answer, done := s.await(ctx); done {
+				return answer
+			}
 		}
 	}
 }
 
-// chooseTarget returns the target of the next attempt. The holder of a replica comes first, returned together with
-// the replica's source. When no target is left, those that failed an attempt are tried again.
-func (s *stream) chooseTarget(ctx context.Context) (*picker.Pick, send.Source, bool) {
-	if r := s.swapReplica(nil); r != nil {
-		if pick, ok := s.sender.Picker.Sound(r.holder, s.want()); ok {
-			return pick, r.source, true
+// await waits for the next step of an attempt or the next report on a silence. It returns the answer to the caller and
+// true, or nil and false if the stream goes on. Without a current attempt, another one may then be opened.
+func (s *stream) await(ctx context.Context) (chain.Answer, bool) {
+	select {
+	case step := <-s.current.steps():
+		return s.handleStep(ctx, step)
+	case step := <-s.next.steps():
+		return s.handleOffer(ctx, step)
+	case report := <-s.current.silences():
+		s.considerMove(ctx, report)
+	case <-s.overlap:
+		return s.move(ctx)
+	}
+	return nil, false
+}
+
+// handleStep handles a step of the current attempt.
+func (s *stream) handleStep(ctx context.Context, step offer.Step) (chain.Answer, bool) {
+	ended := s.current
+	result := s.advance(ended, step)
+	if result == nil {
+		if _, ok := step.(offer.Event); ok {
+			s.withdrawOffer()
+		}
+		return nil, false
+	}
+	s.current, s.next, s.overlap = s.next, nil, nil
+	ended.close()
+	if answer, done := s.settle(ctx, ended, result); done {
+		return answer, true
+	}
+	if s.current != nil {
+		return nil, false
+	}
+	return s.retryOrFinish(ctx, result)
+}
+
+// closeAttempts closes the attempts that are open.
+func (s *stream) closeAttempts() {
+	for _, a := range []*attempt{s.current, s.next} {
+		if a != nil {
+			a.close()
 		}
 	}
+	s.current, s.next = nil, nil
+}
+
+// chooseTarget returns the target of the next attempt, with the replica to start from or nil. It waits for a target to
+// become available.
+func (s *stream) chooseTarget(ctx context.Context) (*picker.Pick, *guard.Replica, bool) {
 	timeout := firstTargetTimeout
 	if s.headSent.Load() {
 		timeout = nextTargetTimeout
 	}
 	deadline := time.Now().Add(timeout)
 	for {
-		pick, ok := s.pickTarget(ctx)
-		if ok {
-			return pick, send.Source{}, true
+		if pick, from, ok := s.nextTarget(ctx); ok {
+			return pick, from, true
 		}
-		clear(s.avoidedTargets)
 		if time.Now().After(deadline) || !wait.Sleep(ctx, targetPollInterval) {
-			return nil, send.Source{}, false
+			return nil, nil, false
 		}
 	}
 }
 
-// want returns the criteria by which the picker chooses a target.
-func (s *stream) want() picker.Want {
-	session := s.request.Prompt.Session()
-	if session == "" {
-		session = s.call.ID
-	}
-	return picker.Want{Service: s.service, Session: session, Prompt: s.request.Prompt.Tokens(), Memory: s.memoryTokens, Avoid: s.avoidedTargets}
-}
-
-// handleOutcome records how an attempt ended. It returns the answer to the caller and true, or nil and false if
-// another attempt follows.
-func (s *stream) handleOutcome(ctx context.Context, pick *picker.Pick, result outcome, startedAt time.Time) (chain.Answer, bool) {
-	if _, done := result.(completed); !done && ctx.Err() != nil {
-		s.mayHaveRun = s.mayHaveRun || mayHaveRun(result)
-		return s.giveUp(ctx, "time is up"), true
-	}
-	switch r := result.(type) {
-	case completed:
-		return chain.Finished{Events: s.eventCount, Resumed: s.resumeCount, First: s.firstEventDelay, Pause: s.longestGap}, true
-	case wholeResponse:
-		if !s.headSent.Load() && !(r.response.Failed() && s.policy.Resumable) {
-			return r.response, true
+// nextTarget returns a target for one more attempt if there is one now. The holder of a replica comes first. When no
+// target is left, those that failed an attempt are tried again. When the request was sent to as many targets as its
+// route allows, only those that refused it come into question.
+func (s *stream) nextTarget(ctx context.Context) (*picker.Pick, *guard.Replica, bool) {
+	if !s.hasAttemptsLeft() {
+		for _, target := range s.refusers {
+			if pick, ok := s.sender.Picker.StreamAt(target, s.want()); ok {
+				return pick, nil, true
+			}
 		}
-		pick.Failed()
-		s.failedResponse = &r.response
-	case callerGone:
-		return chain.Left{}, true
-	case notRun:
-		s.reportFailure(pick, r.unreachable, r.cause)
-	case interrupted:
-		s.endedBy = r.endedBy
-		s.sender.Counts.Endings[r.endedBy].Inc()
-		s.reportFailure(pick, true, r.cause)
-		if r.atBegin {
-			s.begins.BrokenOff(ctx, pick.Target)
+		return nil, nil, false
+	}
+	if r := s.replicas.Current(); r != nil {
+		if pick, ok := s.sender.Picker.Sound(r.Holder, s.want()); ok {
+			return pick, r, true
 		}
+		s.replicas.Discard(r)
 	}
-	s.avoidedTargets[pick.Target.Name] = true
-	s.mayHaveRun = s.mayHaveRun || mayHaveRun(result)
-	s.logOutcome(pick, result, startedAt)
-	return s.retryOrFinish(ctx, result)
-}
-
-// holderName returns the name of the target that holds the replica, or an empty name.
-func (s *stream) holderName() string {
-	if r := s.replica.Load(); r != nil {
-		return r.holder.Name
+	if pick, ok := s.pickTarget(ctx); ok {
+		return pick, nil, true
 	}
-	return ""
-}
-
-// mayHaveRun reports whether a target may have run the request in an attempt.
-func mayHaveRun(result outcome) bool {
-	_, didNotRun := result.(notRun)
-	return !didNotRun
-}
-
-// swapReplica sets the replica, which may be nil, and returns the previous one after its release.
-func (s *stream) swapReplica(next *replica) *replica {
-	old := s.replica.Swap(next)
-	if old != nil {
-		old.release()
+	avoided := names{}
+	if s.current != nil {
+		avoided = avoided.with(s.current.pick.Target.Name)
 	}
-	return old
+	s.avoided.Store(&avoided)
+	return nil, nil, false
 }
 
-// reportFailure tells the picker that a target was lost, which makes it suspect, or that it only failed the request.
-func (s *stream) reportFailure(pick *picker.Pick, lost bool, cause string) {
-	if lost {
-		pick.Lost(cause)
-		return
+// want returns the criteria by which the picker chooses a target.
+func (s *stream) want() picker.Want {
+	session := s.request.Prompt.Session()
+	if session == "" {
+		session = s.call.ID
 	}
-	pick.Failed()
+	return picker.Want{Service: s.service, Session: session, Prompt: s.request.Prompt.Tokens(), Memory: s.memoryTokens, Avoid: *s.avoided.Load()}
 }
 
-// reserveRetry reserves a retry until takeRetry uses it, unless the bound on retries is reached.
+// reserveRetry reserves a retry for the next attempt, unless the bound on retries is reached.
 func (s *stream) reserveRetry() bool {
 	s.hasReservedRetry = s.hasReservedRetry || s.sender.Repeat(s.service)
 	return s.hasReservedRetry
 }
 
-// takeRetry uses the reserved retry or, if there is none, one within the bound. It returns false if the bound is reached.
-func (s *stream) takeRetry() bool {
-	ok := s.reserveRetry()
-	s.hasReservedRetry = false
-	return ok
-}
-
 // returnRetry gives back a retry that was reserved and not used.
 func (s *stream) returnRetry() {
 	if s.hasReservedRetry {
@@ -264,30 +258,14 @@
 	}
 }
 
-// retryOrFinish returns nil and false if the stream may go on at another target, otherwise its final answer and true.
-func (s *stream) retryOrFinish(ctx context.Context, result outcome) (chain.Answer, bool) {
-	if r, ok := result.(notRun); ok && (!r.received || r.misdirected) {
-		s.unsentCount++
-		if s.unsentCount <= maxUnsent && (!r.misdirected || s.takeRetry()) {
-			return nil, false
-		}
-	}
-	reason := ""
-	switch {
-	case s.mayHaveRun && !s.policy.Resumable:
-		reason = "its target failed and it may not be resumed"
-	case s.eventCount > 0 && !event.IsNumber(s.lastEventID):
-		reason = "its target failed and its events have no numbers to resume after"
-	case s.sendCount >= s.call.Route.MaxAttempts:
-		reason = "its attempts are used up"
-	case s.begins.Exhausted(ctx):
-		reason = "targets crashed when they had begun to answer it"
-	case !s.takeRetry():
-		reason = "the retry bound is reached"
-	default:
-		return nil, false
-	}
-	return s.finalAnswer(reason), true
+// hasAttemptsLeft reports whether the route allows the request to be sent to one more target.
+func (s *stream) hasAttemptsLeft() bool {
+	return s.sendCount < max(1, s.call.Route.MaxAttempts)
+}
+
+// hasOrder reports whether another target can tell after which event to go on.
+func (s *stream) hasOrder() bool {
+	return s.eventCount == 0 || event.IsNumber(s.lastEventID)
 }
 
 // isBlocked reports whether a part of the prompt is known to crash targets. A stream with which a target went on does not.
@@ -295,64 +273,3 @@
 	_, ok := s.sender.Blocks.Blocked(s.request.Prompt.Shared())
 	return ok && !s.wentOn
 }
-
-// finalAnswer returns the answer of a stream that does not go on at another target.
-func (s *stream) finalAnswer(reason string) chain.Answer {
-	switch {
-	case s.headSent.Load():
-		s.sender.Counts.Severed.Inc()
-		return chain.Severed{Reason: reason, EndedBy: s.endedBy}
-	case s.failedResponse != nil:
-		return *s.failedResponse
-	case s.mayHaveRun && !s.policy.Resumable:
-		return send.Unknown(deny.KindOutcome, "%s; the request may have run", reason)
-	case s.mayHaveRun:
-		return send.Unknown(deny.KindOutcome, "%s", reason)
-	default:
-		return send.Unavailable(streamRetryAfter, "%s", reason)
-	}
-}
-
-// giveUp returns the answer when time is up, the caller has left or no target is available.
-func (s *stream) giveUp(ctx context.Context, reason string) chain.Answer {
-	switch {
-	case ctx.Err() == nil:
-		return s.finalAnswer(reason)
-	case hasTimeLeft(ctx):
-		return chain.Left{}
-	case s.headSent.Load() || s.failedResponse != nil || !s.mayHaveRun:
-		return s.finalAnswer(reason)
-	default:
-		return send.Unknown(deny.KindTimeout, "no event in time")
-	}
-}
-
-// logOutcome logs why an attempt did not complete the stream.
-func (s *stream) logOutcome(pick *picker.Pick, result outcome, startedAt time.Time) {
-	fields := log.Fields{
-		"request":  s.call.ID,
-		"target":   pick.Target.Name,
-		"domain":   pick.Target.Domain,
-		"service":  s.service,
-		"sends":    s.sendCount,
-		"events":   s.eventCount,
-		"last":     s.lastEventID,
-		"after-ms": time.Since(startedAt).Milliseconds(),
-		"holder":   s.holderName(),
-	}
-	switch r := result.(type) {
-	case notRun:
-		s.sender.Log.WithFields(fields).WithField("cause", r.cause).Info("target did not run the stream")
-	case interrupted:
-		if !s.lastEventAt.IsZero() {
-			fields["silence-ms"] = time.Since(s.lastEventAt).Milliseconds()
-		}
-		fields["ended-by"] = string(r.endedBy)
-		if r.atBegin {
-			fields["parts"] = strings.Join(s.request.Prompt.Shared(), ",")
-		}
-		s.sender.Log.WithFields(fields).WithField("cause", r.cause).Info("stream ended before its last event")
-	case wholeResponse:
-		s.sender.Log.WithFields(fields).WithField("status", r.response.Head.Status).Info("target answered without a stream")
-	}
-}
--- /dev/null
+++ b/entry/offer/offer.go
@@ -0,0 +1,116 @@
+package offer
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"bramleywharf.example/entry/chain"
+	"bramleywharf.example/entry/event"
+	"bramleywharf.example/entry/link"
+	"bramleywharf.example/entry/picker"
+	"bramleywharf.example/entry/send"
+	"github.com/pkg/errors"
+)
+
+// Offer is one send of a streamed request to a target.
+type Offer struct {
+	steps  chan Step     // holds at most one step, since each is asked for
+	asked  chan struct{} // receives a value for each step after the first; closed by Close
+	done   chan struct{} // closed when the goroutine has ended
+	cancel context.CancelFunc
+}
+
+// Start sends a request to the picked target; fresh asks for a connection that was not used before. The offer must be
+// closed.
+func Start(ctx context.Context, s *send.Sender, pick *picker.Pick, message send.Send, forward chain.Forward, fresh bool) *Offer {
+	ctx, cancel := context.WithCancel(ctx)
+	o := &Offer{steps: make(chan Step, 1), asked: make(chan struct{}, 1), done: make(chan struct{}), cancel: cancel}
+	go func() {
+		defer close(o.done)
+		first := open(ctx, s, pick, message, forward, fresh)
+		o.steps <- first
+		if accepted, ok := first.(Accepted); ok {
+			o.read(accepted.reply)
+		}
+	}()
+	return o
+}
+
+// Steps returns the channel that receives the first step, and one more for each call of Ask. It is nil for no offer.
+func (o *Offer) Steps() <-chan Step {
+	if o == nil {
+		return nil
+	}
+	return o.steps
+}
+
+// Ask asks for the next step once the previous one was received and is no longer needed.
+func (o *Offer) Ask() {
+	o.asked <- struct{}{}
+}
+
+// Close closes the connection unless the response has ended. It returns a step that was not received, or nil.
+func (o *Offer) Close() Step {
+	o.cancel()
+	close(o.asked)
+	<-o.done
+	select {
+	case step := <-o.steps:
+		return step
+	default:
+		return nil
+	}
+}
+
+// read reports events as they are asked for.
+func (o *Offer) read(reply *link.Reply) {
+	defer reply.Close()
+	reader := event.NewReader(reply)
+	for range o.asked {
+		e, err := reader.Next()
+		switch {
+		case err == io.EOF:
+			o.steps <- End{}
+			return
+		case err != nil:
+			o.steps <- Broken{Err: err}
+			return
+		}
+		o.steps <- Event{e}
+	}
+}
+
+// open sends the request and waits for the head of the response.
+func open(ctx context.Context, s *send.Sender, pick *picker.Pick, message send.Send, forward chain.Forward, fresh bool) Step {
+	s.Counts.Sends.Inc()
+	reply, err := s.Link.Send(ctx, s.Outgoing(message, forward, fresh))
+	var notSentErr *link.NotSentError
+	if errors.As(err, &notSentErr) {
+		s.Counts.Unsent.Inc()
+		return NotRun{Cause: err.Error()}
+	}
+	if err != nil {
+		return Broken{Err: err}
+	}
+	switch v := s.Dialect.Judge(reply.Status(), reply.Header()).(type) {
+	case send.NotRun:
+		_, _ = reply.Whole() // The body is not needed; reading it lets the connection be reused.
+		if v.Misdirected {
+			s.Misdirected(ctx, message.Call, pick, v.Holder)
+		}
+		return NotRun{Received: true, Misdirected: v.Misdirected, Cause: fmt.Sprintf("status %d", reply.Status())}
+	case send.Unsigned:
+		reply.Close()
+		return Broken{Err: errors.Errorf("response with status %d has no signature", reply.Status())}
+	}
+	head := chain.Head{Status: reply.Status(), Header: s.Dialect.Response(reply.Header())}
+	if reply.Status() == 200 {
+		return Accepted{Head: head, reply: reply}
+	}
+	body, err := reply.Whole()
+	if err != nil {
+		return Broken{Err: err}
+	}
+	return Answered{Head: head, Body: body}
+}
