flight: a silent stream is not offered to the target that runs it

Cause: the replica that an attempt starts from stays the stream's current one until the target begins to answer. If that target is silent before, the next offer took the replica again and went to its holder, the silent target itself.

Change: a replica at an avoided target is dropped; an offer avoids the current target.

Ruled out: dropping the replica when the attempt opens. That leaves the replica that a monitor orders as its attempt ends, whose holder may be the new target.

Before: TestOfferLeavesOutItsTarget fails, the holder gets the stream twice and refuses the second one.

After: TestOfferLeavesOutItsTarget, TestSilentStream* and TestStreamOutlasts* pass twice with the race detector.

--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -219,8 +219,11 @@
 		return nil, nil, false
 	}
 	if r := s.replicas.Current(); r != nil {
-		if pick, ok := s.sender.Picker.Sound(r.Holder, s.want()); ok {
-			return pick, r, true
+		// The current attempt may have started from this replica and not have used it yet.
+		if want := s.want(); !want.Avoid[r.Holder.Name] {
+			if pick, ok := s.sender.Picker.Sound(r.Holder, want); ok {
+				return pick, r, true
+			}
 		}
 		s.replicas.Discard(r)
 	}
