flight: a silent stream is offered to sound targets only

Cause: HasAlternative looks for a sound target besides the current one, but the choice also leaves out those that have refused the stream. With a sound target that is full and a suspect one that accepts connections and does not answer, the suspect one was chosen, and 250 ms later the silent target was given up.

Change: while a target has the stream, a suspect pick is released and the targets that refused come into question again. This holds for those that are asked once more, too. Tests of flight get a world of targets on loopback.

Ruled out: counting refusers as no alternative; the stream would never be offered to them again.

Before: TestStreamIsOfferedToSoundTargetsOnly fails; the stream moves to the suspect target after one refusal.

After: it passes three times with the race detector.

Conclusion: a silent target is given up only for one believed to be sound, as entry/pass does.

--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -212,7 +212,7 @@
 func (s *stream) nextTarget(ctx context.Context) (*picker.Pick, *guard.Replica, bool) {
 	if !s.hasAttemptsLeft() {
 		for _, target := range s.refusers {
-			if pick, ok := s.sender.Picker.StreamAt(target, s.want()); ok {
+			if pick, ok := s.sender.Picker.StreamAt(target, s.want()); ok && s.mayTake(pick) {
 				return pick, nil, true
 			}
 		}
@@ -227,7 +227,7 @@
 		}
 		s.replicas.Discard(r)
 	}
-	if pick, ok := s.pickTarget(ctx); ok {
+	if pick, ok := s.pickTarget(ctx); ok && s.mayTake(pick) {
 		return pick, nil, true
 	}
 	avoided := names{}
@@ -238,6 +238,16 @@
 	return nil, nil, false
 }
 
+// mayTake reports whether a picked target may take the stream, and releases it if not. A suspect target may only take a
+// stream that has no target.
+func (s *stream) mayTake(pick *picker.Pick) bool {
+	if s.current == nil || s.sender.Picker.IsSound(pick.Target) {
+		return true
+	}
+	pick.Release()
+	return false
+}
+
 // want returns the criteria by which the picker chooses a target.
 func (s *stream) want() picker.Want {
 	session := s.request.Prompt.Session()
--- /dev/null
+++ b/entry/flight/move_test.go
@@ -0,0 +1,51 @@
+package flight
+
+import (
+	"testing"
+	"time"
+
+	"bramleywharf.example/entry/picker"
+	"github.com/frankban/quicktest"
+)
+
+// TestStreamIsOfferedToSoundTargetsOnly checks that a silent target is not given up for one that is suspect while a
+// sound one refuses the stream.
+func TestStreamIsOfferedToSoundTargetsOnly(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, "a", "b", "c")
+	resume := make(chan struct{})
+	for _, target := range w.targets {
+		w.behave(target.Name, behaviour{haltAt: 3, resume: resume})
+	}
+	caller := &caller{}
+	runner, answers := w.start(caller)
+	full, suspect := w.others(runner)[0], w.others(runner)[1]
+	w.behave(full, behaviour{refuses: true})
+	w.behave(suspect, behaviour{begin: w.c.Context().Done()})
+	stop := make(chan struct{})
+	defer close(stop)
+	for _, target := range w.targets {
+		if target.Name == suspect {
+			pick, _ := w.sender.Picker.StreamAt(target, picker.Want{Service: testService, Session: "other"})
+			defer pick.Release()
+			go keepSuspect(pick, stop)
+		}
+	}
+	w.waitUntil(func() bool { return w.refused(full) > 1 })
+	time.Sleep(time.Second)
+	close(resume)
+	w.assertWhole(<-answers, caller)
+	w.c.Assert(w.seen(), quicktest.HasLen, 1)
+}
+
+// keepSuspect reports a target as lost until stop is closed.
+func keepSuspect(pick *picker.Pick, stop <-chan struct{}) {
+	for {
+		pick.Lost("test")
+		select {
+		case <-stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/entry/flight/world_test.go
@@ -0,0 +1,282 @@
+package flight
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bramleywharf.example/core/retry"
+	"bramleywharf.example/core/site"
+	"bramleywharf.example/entry/block"
+	"bramleywharf.example/entry/chain"
+	"bramleywharf.example/entry/link"
+	"bramleywharf.example/entry/picker"
+	"bramleywharf.example/entry/send"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/frankban/quicktest"
+)
+
+const (
+	testService = "s"
+	testSession = "session"
+	eventTotal  = 8                     // eventTotal is the number of events of each stream.
+	eventPace   = 20 * time.Millisecond // eventPace is the time between two events.
+	waitTimeout = 10 * time.Second      // waitTimeout bounds each wait of a test.
+)
+
+// behaviour says how a target answers. Channels that are nil let it go on at once.
+type behaviour struct {
+	refuses bool
+	begin   <-chan struct{} // begin is waited for before the first event.
+	haltAt  int             // haltAt is the event after which resume is waited for, or 0.
+	resume  <-chan struct{}
+}
+
+// run is what a target has seen of a stream that it ran.
+type run struct {
+	target string
+	left   bool // left tells that the connection was closed before the last event.
+}
+
+// world is a sender with targets on loopback.
+type world struct {
+	c       *quicktest.C
+	sender  *send.Sender
+	targets []site.Target
+
+	mu         sync.Mutex
+	behaviours map[string]behaviour
+	runs       []*run
+	refusals   map[string]int // refusals counts the refused streams by target.
+}
+
+// Changed returns a channel that never closes.
+func (w *world) Changed() <-chan struct{} { return nil }
+
+// Settled reports that missing targets are gone.
+func (w *world) Settled() bool { return true }
+
+// Targets returns the targets, which never change.
+func (w *world) Targets() []site.Target { return w.targets }
+
+// newWorld returns a world of sound targets.
+func newWorld(t *testing.T, names ...string) *world {
+	w := &world{c: quicktest.New(t), behaviours: make(map[string]behaviour), refusals: make(map[string]int)}
+	for i, name := range names {
+		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serve(name, rw, r) }))
+		t.Cleanup(server.Close)
+		t.Cleanup(server.CloseClientConnections)
+		w.targets = append(w.targets, site.Target{Name: name, Service: testService, Address: server.Listener.Addr().String(), Domain: name, Revision: uint64(i + 1)})
+	}
+	logger, set := &log.Logger{Handler: discard.New()}, metrics.NewSet()
+	targetLink := link.New(link.Settings{EchoHeader: "X-Request-Id"}, set)
+	t.Cleanup(targetLink.Close)
+	targetPicker := picker.New(w, func(string) {}, logger, set)
+	t.Cleanup(targetPicker.Close)
+	targetPicker.Name("self", 1)
+	bound := retry.Bound{Slack: 100}
+	w.sender = send.New(send.Settings{
+		Retries: func() retry.Bound { return bound },
+		Fleet:   bound,
+		Size:    func() int { return 1 },
+		Blocks:  block.New(logger, set),
+	}, targetLink, targetPicker, plainDialect{}, logger, set)
+	w.waitUntil(func() bool { return targetPicker.HasSound(picker.Want{Service: testService}) })
+	return w
+}
+
+// behave sets the behaviour of a target in later requests.
+func (w *world) behave(name string, b behaviour) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.behaviours[name] = b
+}
+
+// serve answers a request to a target.
+func (w *world) serve(name string, rw http.ResponseWriter, r *http.Request) {
+	rw.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	if r.Header.Get("X-Request-Id") == "" {
+		return
+	}
+	w.mu.Lock()
+	b := w.behaviours[name]
+	if b.refuses {
+		w.refusals[name]++
+		w.mu.Unlock()
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	current := &run{target: name}
+	w.runs = append(w.runs, current)
+	w.mu.Unlock()
+	if !b.writeEvents(rw, r) {
+		w.mu.Lock()
+		current.left = true
+		w.mu.Unlock()
+	}
+}
+
+// writeEvents writes the events after the last one that the caller has, and reports whether it has written all.
+func (b behaviour) writeEvents(rw http.ResponseWriter, r *http.Request) bool {
+	if b.begin != nil && !isClosedFor(r, b.begin) {
+		return false
+	}
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	rw.Header().Set("Content-Type", "text/event-stream")
+	for i := last + 1; i <= eventTotal; i++ {
+		_, _ = fmt.Fprintf(rw, "id: %d\ndata: x\n\n", i)
+		_ = http.NewResponseController(rw).Flush()
+		if i == b.haltAt && !isClosedFor(r, b.resume) {
+			return false
+		}
+		select {
+		case <-time.After(eventPace):
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	return true
+}
+
+// isClosedFor waits for a channel to close, and returns false if the request's connection is closed before.
+func isClosedFor(r *http.Request, c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// seen returns the runs in the order in which they began.
+func (w *world) seen() []run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var runs []run
+	for _, r := range w.runs {
+		runs = append(runs, *r)
+	}
+	return runs
+}
+
+// refused returns how often a target refused a stream.
+func (w *world) refused(name string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.refusals[name]
+}
+
+// others returns the names of all targets but one.
+func (w *world) others(name string) []string {
+	var others []string
+	for _, target := range w.targets {
+		if target.Name != name {
+			others = append(others, target.Name)
+		}
+	}
+	return others
+}
+
+// waitUntil waits for a condition, and fails the test after waitTimeout.
+func (w *world) waitUntil(condition func() bool) {
+	w.c.Helper()
+	for deadline := time.Now().Add(waitTimeout); !condition(); time.Sleep(5 * time.Millisecond) {
+		w.c.Assert(time.Now().Before(deadline), quicktest.IsTrue, quicktest.Commentf("condition did not become true"))
+	}
+}
+
+// start runs a stream for a caller and returns the target that runs it first, and a channel that gets the answer.
+func (w *world) start(caller *caller) (string, <-chan chain.Answer) {
+	answers := make(chan chain.Answer, 1)
+	policy := site.Stream{Resumable: true}
+	call := chain.Call{ID: "r1"}.WithRoute(site.NewConfig("1", 1, site.Limits{}), site.Route{RetryPolicy: policy, MaxAttempts: 5, Services: []site.WeightedService{{Service: testService, Weight: 1}}})
+	now := time.Now()
+	forward := chain.Forward{Method: http.MethodPost, Host: "host", Path: "/x", Deadline: now.Add(waitTimeout), Received: now, Prompt: chain.Prompt{{ID: testSession, Tokens: 10}}, Outlet: caller}
+	go func() { answers <- Run(w.c.Context(), w.sender, call, forward, policy) }()
+	w.waitUntil(func() bool { return len(w.seen()) > 0 })
+	return w.seen()[0].target, answers
+}
+
+// assertWhole checks that the stream was complete and its caller got each event once.
+func (w *world) assertWhole(answer chain.Answer, caller *caller) {
+	w.c.Helper()
+	finished, ok := answer.(chain.Finished)
+	w.c.Assert(ok, quicktest.IsTrue, quicktest.Commentf("%#v", answer))
+	w.c.Assert(finished.Events, quicktest.Equals, eventTotal)
+	var want strings.Builder
+	for i := range eventTotal {
+		fmt.Fprintf(&want, "id: %d\ndata: x\n\n", i+1)
+	}
+	w.c.Assert(caller.body.String(), quicktest.Equals, want.String())
+}
+
+// caller takes events, and keeps the sender of one of them waiting.
+type caller struct {
+	body   strings.Builder
+	slowAt int // slowAt is the event that the caller takes when resume is closed, or 0.
+	resume <-chan struct{}
+	count  int
+}
+
+// Begin ignores the head.
+func (c *caller) Begin(chain.Head) error { return nil }
+
+// Event takes an event.
+func (c *caller) Event(raw []byte) error {
+	c.count++
+	if c.count == c.slowAt {
+		<-c.resume
+	}
+	c.body.Write(raw)
+	return nil
+}
+
+// plainDialect is a dialect of targets that keep no replicas and make no reports.
+type plainDialect struct{}
+
+// Header returns the id of the request, and the last event that the caller has.
+func (plainDialect) Header(s send.Send) map[string][]string {
+	return map[string][]string{"X-Request-Id": {s.Call.ID}, "Last-Event-Id": {s.After}}
+}
+
+// Copy returns an empty request.
+func (plainDialect) Copy(_ chain.Call, runner, _ site.Target) link.Request {
+	return link.Request{Address: runner.Address}
+}
+
+// Copied reports that there is no replica.
+func (plainDialect) Copied(int, []byte) (string, bool) { return "", false }
+
+// Ask returns a request to which the answer is empty.
+func (plainDialect) Ask(target site.Target) link.Request {
+	return link.Request{Address: target.Address, Host: "host", Method: http.MethodGet, Path: "/"}
+}
+
+// Progress reports that the target has the request.
+func (plainDialect) Progress(string, []byte) (send.Progress, error) {
+	return send.Progress{Listed: true}, nil
+}
+
+// IsEngine reports that targets are engines.
+func (plainDialect) IsEngine(int, []byte) bool { return true }
+
+// Drop returns an empty request.
+func (plainDialect) Drop(s send.Source) link.Request { return link.Request{Address: s.Address} }
+
+// Judge takes the status of refusals as proof.
+func (plainDialect) Judge(status int, _ map[string][]string) send.Verdict {
+	if status == http.StatusServiceUnavailable {
+		return send.NotRun{}
+	}
+	return send.Signed{}
+}
+
+// Response passes all headers on.
+func (plainDialect) Response(header map[string][]string) chain.Header { return header }
