flight: an offer is withdrawn before its event is delivered

Cause: the offer was withdrawn after the event of the recovered target was delivered.

Change: relay withdraws the offer before it delivers the event.

Ruled out: withdrawing at any step of the current attempt; the head of its response is no sign that it goes on.

Conclusion: two targets run one stream for overlapTimeout at most.

--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -187,6 +187,7 @@
 		return interruptedBy(errors.Errorf("event %s does not follow event %s", e.ID, s.lastEventID))
 	}
 	a.monitor.RecordEvent()
+	s.withdrawOffer() // The caller may be slow to take the event; the other target must not run the stream meanwhile.
 	if a.isSuspect {
 		a.isSuspect = false
 		a.pick.Heard()
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -162,9 +162,6 @@
 	ended := s.current
 	result := s.advance(ended, step)
 	if result == nil {
-		if _, ok := step.(offer.Event); ok {
-			s.withdrawOffer()
-		}
 		return nil, false
 	}
 	s.current, s.next, s.overlap = s.next, nil, nil
--- a/entry/flight/move_test.go
+++ b/entry/flight/move_test.go
@@ -49,3 +49,24 @@
 		}
 	}
 }
+
+// TestOfferEndsBeforeDelivery checks that an offer is withdrawn as soon as the silent target sends again, also if the
+// caller is slow to take the event.
+func TestOfferEndsBeforeDelivery(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, "a", "b")
+	resume, taken := make(chan struct{}), make(chan struct{})
+	for _, target := range w.targets {
+		w.behave(target.Name, behaviour{haltAt: 3, resume: resume})
+	}
+	caller := &caller{slowAt: 4, resume: taken}
+	runner, answers := w.start(caller)
+	w.behave(w.others(runner)[0], behaviour{begin: w.c.Context().Done()})
+	w.waitUntil(func() bool { return len(w.seen()) > 1 })
+	close(resume)
+	w.waitUntil(func() bool { return w.seen()[1].left })
+	close(taken)
+	w.assertWhole(<-answers, caller)
+	w.c.Assert(w.seen(), quicktest.HasLen, 2)
+	w.c.Assert(w.seen()[0].left, quicktest.IsFalse)
+}
