flight: a slow caller is not taken for a silent target

Cause: the next event is asked for once the caller has taken the one before, and a monitor counts from the arrival of the last event. While a caller is slow to take one, the monitor reports a silence; the report is still current when the caller has taken the event, and the stream is offered to another target.

Change: the delivery of an event counts as a sign of the target, too, which makes reports from before out of date.

Ruled out: reading ahead of the caller, which takes memory.

Before: TestSlowCallerIsNotSilence fails 2 times of 5 (the choice between the report and the next event is random).

After: it passes 5 times of 5 with the race detector.

Conclusion: slow callers cost no offers.

--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -207,6 +207,7 @@
 	if err := s.deliver(a, e); err != nil {
 		return callerGone{}
 	}
+	a.monitor.RecordEvent() // The target is not silent while the caller is slow to take its event.
 	return nil
 }
 
--- a/entry/flight/move_test.go
+++ b/entry/flight/move_test.go
@@ -70,3 +70,14 @@
 	w.c.Assert(w.seen(), quicktest.HasLen, 2)
 	w.c.Assert(w.seen()[0].left, quicktest.IsFalse)
 }
+
+// TestSlowCallerIsNotSilence checks that a stream is not offered to another target while its caller is slow to take
+// events.
+func TestSlowCallerIsNotSilence(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, "a", "b")
+	caller := &caller{delay: 600 * time.Millisecond}
+	_, answers := w.start(caller)
+	w.assertWhole(<-answers, caller)
+	w.c.Assert(w.seen(), quicktest.HasLen, 1)
+}
--- a/entry/flight/world_test.go
+++ b/entry/flight/world_test.go
@@ -217,10 +217,11 @@
 	w.c.Assert(caller.body.String(), quicktest.Equals, want.String())
 }
 
-// caller takes events, and keeps the sender of one of them waiting.
+// caller takes events, and may be slow to do so.
 type caller struct {
 	body   strings.Builder
-	slowAt int // slowAt is the event that the caller takes when resume is closed, or 0.
+	delay  time.Duration // delay is the time that the caller takes for each event.
+	slowAt int           // slowAt is the event that the caller takes when resume is closed, or 0.
 	resume <-chan struct{}
 	count  int
 }
@@ -234,6 +235,7 @@
 	if c.count == c.slowAt {
 		<-c.resume
 	}
+	time.Sleep(c.delay)
 	c.body.Write(raw)
 	return nil
 }
