flight, guard: refusals do not lengthen the pauses that are learned

Cause: the pause estimate learned the time since the last event at the moment of the move. That now includes the overlap and the time for which other targets refused the stream, so that one silent target raised the cut timeout of all streams of the service, up to its bound of 2 s.

Change: a report on a silence tells how long it was when it was first reported, and the estimate learns that.

Ruled out: not learning from such moves; the target may be alive.

--- a/entry/flight/move.go
+++ b/entry/flight/move.go
@@ -98,8 +98,7 @@
 	silent.close()
 	s.sender.Counts.Silences.Inc()
 	if silent.received > 0 && errors.Is(s.silence.Err, guard.ErrStalled) {
-		pause := time.Since(s.lastEventAt)
-		s.sender.Learn(s.service, func(p flow.PauseEstimate) flow.PauseEstimate { return p.WithCut(pause) })
+		s.sender.Learn(s.service, func(p flow.PauseEstimate) flow.PauseEstimate { return p.WithCut(s.silence.Length) })
 	}
 	end := interruptedBy(s.silence.Err)
 	return s.settle(ctx, silent, end)
--- a/entry/flight/move_test.go
+++ b/entry/flight/move_test.go
@@ -81,3 +81,23 @@
 	w.assertWhole(<-answers, caller)
 	w.c.Assert(w.seen(), quicktest.HasLen, 1)
 }
+
+// TestRefusalsDoNotStretchSilence checks that the pauses learned from a silence that a stream has left do not include
+// the time for which other targets refused it.
+func TestRefusalsDoNotStretchSilence(t *testing.T) {
+	t.Parallel()
+	const maxCutTimeout = 1200 * time.Millisecond
+	w := newWorld(t, "a", "b")
+	for _, target := range w.targets {
+		w.behave(target.Name, behaviour{haltAt: 3, resume: w.c.Context().Done()})
+	}
+	caller := &caller{}
+	runner, answers := w.start(caller)
+	other := w.others(runner)[0]
+	w.behave(other, behaviour{refuses: true})
+	w.waitUntil(func() bool { return w.refused(other) > 2 })
+	w.behave(other, behaviour{})
+	w.assertWhole(<-answers, caller)
+	timeout := w.sender.Pace(testService).CutTimeout()
+	w.c.Assert(timeout < maxCutTimeout, quicktest.IsTrue, quicktest.Commentf("%v", timeout))
+}
--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -38,6 +38,7 @@
 type Silence struct {
 	Err       error
 	LastEvent time.Duration // LastEvent is the time of the last event since the start of the monitor, 0 before the first.
+	Length    time.Duration // Length is how long the silence was when it was first reported for this reason.
 }
 
 // Subject is the attempt of a stream that a monitor watches.
@@ -89,8 +90,8 @@
 			case <-ticker.C:
 			}
 			lastEvent := m.LastEvent()
-			if err := m.check(ctx); err != nil {
-				last = Silence{Err: err, LastEvent: lastEvent}
+			if err := m.check(ctx); err != nil && (!errors.Is(err, last.Err) || lastEvent != last.LastEvent) {
+				last = Silence{Err: err, LastEvent: lastEvent, Length: time.Since(m.startedAt) - lastEvent}
 			}
 			if last.Err != nil && last.LastEvent == m.LastEvent() {
 				m.report(last)
