flight, picker: a refused offer leaves the target of the session

Cause: picking a target for an offer records it as the one that has read the session's prompt. When the offer was refused or withdrawn the record stayed, so that the session's next stream went to a target that has not read the prompt.

Change: the current target is recorded again when another pick for its stream was released.

Ruled out: recording a target once it accepts; other streams of the session are to follow while it reads the prompt.

Before: TestRefusedOfferLeavesSession fails, the session is at the target that refused.

After: it passes twice, and the tests of flight and picker pass, with the race detector.

Conclusion: prompts are not read again for an offer in vain.

--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -242,6 +242,7 @@
 		return true
 	}
 	pick.Release()
+	s.current.pick.Stays()
 	return false
 }
 
--- a/entry/flight/move.go
+++ b/entry/flight/move.go
@@ -78,6 +78,7 @@
 	}
 	s.next, s.overlap = nil, nil
 	refused.close()
+	s.current.pick.Stays()
 	if answer, done := s.settle(ctx, refused, result); done {
 		return answer, true
 	}
@@ -116,6 +117,7 @@
 	if r, ok := withdrawn.close().(offer.NotRun); ok {
 		s.uncount(withdrawn, notRun{received: r.Received, misdirected: r.Misdirected})
 	}
+	s.current.pick.Stays()
 	s.replicas.Discard(withdrawn.replica)
 }
 
--- a/entry/flight/move_test.go
+++ b/entry/flight/move_test.go
@@ -101,3 +101,22 @@
 	timeout := w.sender.Pace(testService).CutTimeout()
 	w.c.Assert(timeout < maxCutTimeout, quicktest.IsTrue, quicktest.Commentf("%v", timeout))
 }
+
+// TestRefusedOfferLeavesSession checks that the target that runs a stream stays that of its session when another target
+// refuses the stream.
+func TestRefusedOfferLeavesSession(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, "a", "b")
+	resume := make(chan struct{})
+	for _, target := range w.targets {
+		w.behave(target.Name, behaviour{haltAt: 3, resume: resume})
+	}
+	caller := &caller{}
+	runner, answers := w.start(caller)
+	other := w.others(runner)[0]
+	w.behave(other, behaviour{refuses: true})
+	w.waitUntil(func() bool { return w.refused(other) > 0 })
+	close(resume)
+	w.assertWhole(<-answers, caller)
+	w.c.Assert(w.sender.Picker.Places()[testSession], quicktest.Equals, runner)
+}
--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -304,6 +304,13 @@
 	}
 }
 
+// Stays records that the target still runs its stream after another pick for the same stream was released.
+func (k *Pick) Stays() {
+	if k.isStream {
+		k.picker.restoreStream(k.session, k.Target.Name)
+	}
+}
+
 // Succeeded records a complete answer.
 func (k *Pick) Succeeded(took time.Duration) {
 	k.targetState.updateHealth(func(e health.Estimate) health.Estimate { return e.WithSuccess(time.Now(), took) })
--- a/entry/picker/places.go
+++ b/entry/picker/places.go
@@ -77,6 +77,16 @@
 	p.placements[session] = current
 }
 
+// restoreStream records again that a stream of a session runs on a target, unless the target that was recorded since
+// runs one.
+func (p *Picker) restoreStream(session, target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if current, ok := p.placements[session]; ok && current.target != target && current.runs <= 0 {
+		p.placements[session] = placement{target: target, runs: 1}
+	}
+}
+
 // ownPlacements returns the placements of this instance and drops those that have expired; the caller holds mu.
 func (p *Picker) ownPlacements(now time.Time) []wire.SessionTarget {
 	sessions := make([]wire.SessionTarget, 0, len(p.placements))
