flight: a lost target counts against an open offer

Cause: when the current attempt ended while another target was offered the stream, that one went on without the check for targets that crash as they begin to answer. A request with a deadly part could crash a third target.

Change: after such a loss the bound on lost targets and the block of the prompt's parts hold for the open offer, too.

Ruled out: the check in MayRetry; the offer is made before the loss.

Before: TestOfferDoesNotOutliveCrashes fails, the third target keeps the stream until the deadline.

After: the tests of flight pass twice with the race detector.

Conclusion: an offer does not get around the guard against deadly parts.

--- a/entry/flight/ending.go
+++ b/entry/flight/ending.go
@@ -11,6 +11,9 @@
 	"github.com/apex/log"
 )
 
+// crashReason tells why a stream ends that has lost as many targets at their begin as it may.
+const crashReason = "targets crashed when they had begun to answer it"
+
 // settle records how an attempt ended. It returns the answer to the caller and true, or nil and false if the stream may
 // go on.
 func (s *stream) settle(ctx context.Context, a *attempt, result outcome) (chain.Answer, bool) {
@@ -95,7 +98,7 @@
 	case !s.hasAttemptsLeft() && !s.mayAskRefusers():
 		reason = "its attempts are used up"
 	case s.begins.Exhausted(ctx):
-		reason = "targets crashed when they had begun to answer it"
+		reason = crashReason
 	case !s.reserveRetry():
 		reason = "the retry bound is reached"
 	default:
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -169,10 +169,13 @@
 	if answer, done := s.settle(ctx, ended, result); done {
 		return answer, true
 	}
-	if s.current != nil {
-		return nil, false
+	if s.current == nil {
+		return s.retryOrFinish(ctx, result)
 	}
-	return s.retryOrFinish(ctx, result)
+	if r, ok := result.(interrupted); ok && r.atBegin && (s.begins.Exhausted(ctx) || s.isBlocked()) {
+		return s.finalAnswer(crashReason), true
+	}
+	return nil, false
 }
 
 // closeAttempts closes the attempts that are open.
--- a/entry/flight/move_test.go
+++ b/entry/flight/move_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/picker"
 	"github.com/frankban/quicktest"
 )
@@ -120,3 +121,31 @@
 	w.assertWhole(<-answers, caller)
 	w.c.Assert(w.sender.Picker.Places()[testSession], quicktest.Equals, runner)
 }
+
+// TestOfferDoesNotOutliveCrashes checks that a request which has lost two targets at their begin does not go on at a third
+// one to which it was offered before the second loss.
+func TestOfferDoesNotOutliveCrashes(t *testing.T) {
+	t.Parallel()
+	const maxDelay = time.Second
+	w := newWorld(t, "a", "b", "c")
+	crash := []chan struct{}{make(chan struct{}), make(chan struct{})}
+	for _, target := range w.targets {
+		w.behave(target.Name, behaviour{crash: crash[0]})
+	}
+	runner, answers := w.start(&caller{})
+	for _, name := range w.others(runner) {
+		w.behave(name, behaviour{begin: crash[0], crash: crash[1]})
+	}
+	w.waitUntil(func() bool { return len(w.seen()) == 2 })
+	for _, name := range w.others(w.seen()[1].target) {
+		w.behave(name, behaviour{begin: w.c.Context().Done()})
+	}
+	close(crash[0])
+	w.waitUntil(func() bool { return len(w.seen()) == 3 })
+	close(crash[1])
+	crashedAt := time.Now()
+	_, isFinished := (<-answers).(chain.Finished)
+	w.c.Assert(isFinished, quicktest.IsFalse)
+	w.c.Assert(time.Since(crashedAt) < maxDelay, quicktest.IsTrue)
+	w.c.Assert(w.seen(), quicktest.HasLen, 3)
+}
--- a/entry/flight/world_test.go
+++ b/entry/flight/world_test.go
@@ -37,6 +37,7 @@
 	begin   <-chan struct{} // begin is waited for before the first event.
 	haltAt  int             // haltAt is the event after which resume is waited for, or 0.
 	resume  <-chan struct{}
+	crash   <-chan struct{} // crash is waited for after the head; the target then ends. Nil lets it run on.
 }
 
 // run is what a target has seen of a stream that it ran.
@@ -128,6 +129,14 @@
 	if b.begin != nil && !isClosedFor(r, b.begin) {
 		return false
 	}
+	if b.crash != nil {
+		_ = http.NewResponseController(rw).Flush()
+		if !isClosedFor(r, b.crash) {
+			return false
+		}
+		_ = r.Context().Value(http.ServerContextKey).(*http.Server).Close()
+		panic(http.ErrAbortHandler)
+	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	rw.Header().Set("Content-Type", "text/event-stream")
 	for i := last + 1; i <= eventTotal; i++ {
@@ -198,7 +207,7 @@
 	policy := site.Stream{Resumable: true}
 	call := chain.Call{ID: "r1"}.WithRoute(site.NewConfig("1", 1, site.Limits{}), site.Route{RetryPolicy: policy, MaxAttempts: 5, Services: []site.WeightedService{{Service: testService, Weight: 1}}})
 	now := time.Now()
-	forward := chain.Forward{Method: http.MethodPost, Host: "host", Path: "/x", Deadline: now.Add(waitTimeout), Received: now, Prompt: chain.Prompt{{ID: testSession, Tokens: 10}}, Outlet: caller}
+	forward := chain.Forward{Method: http.MethodPost, Host: "host", Path: "/x", Deadline: now.Add(waitTimeout), Received: now, Prompt: chain.Prompt{{ID: "shared", Tokens: 10}, {ID: testSession, Tokens: 10}}, Outlet: caller}
 	go func() { answers <- Run(w.c.Context(), w.sender, call, forward, policy) }()
 	w.waitUntil(func() bool { return len(w.seen()) > 0 })
 	return w.seen()[0].target, answers
