flight: test that an offer ends with its caller

Cause: no test left a stream while two attempts were open.

Change: TestOfferEndsWithCaller. No code changes.

Ruled out: a case for the deadline; its result depends on the speed of the machine.

Before: not covered.

Conclusion: both attempts end, and their counts are given back.

--- a/entry/flight/move_test.go
+++ b/entry/flight/move_test.go
@@ -1,6 +1,7 @@
 package flight
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -19,7 +20,7 @@
 		w.behave(target.Name, behaviour{haltAt: 3, resume: resume})
 	}
 	caller := &caller{}
-	runner, answers := w.start(caller)
+	runner, answers := w.start(w.c.Context(), caller)
 	full, suspect := w.others(runner)[0], w.others(runner)[1]
 	w.behave(full, behaviour{refuses: true})
 	w.behave(suspect, behaviour{begin: w.c.Context().Done()})
@@ -61,7 +62,7 @@
 		w.behave(target.Name, behaviour{haltAt: 3, resume: resume})
 	}
 	caller := &caller{slowAt: 4, resume: taken}
-	runner, answers := w.start(caller)
+	runner, answers := w.start(w.c.Context(), caller)
 	w.behave(w.others(runner)[0], behaviour{begin: w.c.Context().Done()})
 	w.waitUntil(func() bool { return len(w.seen()) > 1 })
 	close(resume)
@@ -78,7 +79,7 @@
 	t.Parallel()
 	w := newWorld(t, "a", "b")
 	caller := &caller{delay: 600 * time.Millisecond}
-	_, answers := w.start(caller)
+	_, answers := w.start(w.c.Context(), caller)
 	w.assertWhole(<-answers, caller)
 	w.c.Assert(w.seen(), quicktest.HasLen, 1)
 }
@@ -93,7 +94,7 @@
 		w.behave(target.Name, behaviour{haltAt: 3, resume: w.c.Context().Done()})
 	}
 	caller := &caller{}
-	runner, answers := w.start(caller)
+	runner, answers := w.start(w.c.Context(), caller)
 	other := w.others(runner)[0]
 	w.behave(other, behaviour{refuses: true})
 	w.waitUntil(func() bool { return w.refused(other) > 2 })
@@ -113,7 +114,7 @@
 		w.behave(target.Name, behaviour{haltAt: 3, resume: resume})
 	}
 	caller := &caller{}
-	runner, answers := w.start(caller)
+	runner, answers := w.start(w.c.Context(), caller)
 	other := w.others(runner)[0]
 	w.behave(other, behaviour{refuses: true})
 	w.waitUntil(func() bool { return w.refused(other) > 0 })
@@ -132,7 +133,7 @@
 	for _, target := range w.targets {
 		w.behave(target.Name, behaviour{crash: crash[0]})
 	}
-	runner, answers := w.start(&caller{})
+	runner, answers := w.start(w.c.Context(), &caller{})
 	for _, name := range w.others(runner) {
 		w.behave(name, behaviour{begin: crash[0], crash: crash[1]})
 	}
@@ -149,3 +150,22 @@
 	w.c.Assert(time.Since(crashedAt) < maxDelay, quicktest.IsTrue)
 	w.c.Assert(w.seen(), quicktest.HasLen, 3)
 }
+
+// TestOfferEndsWithCaller checks that both attempts of a stream end, and are no longer counted on their targets, when
+// its caller leaves during an offer.
+func TestOfferEndsWithCaller(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, "a", "b")
+	for _, target := range w.targets {
+		w.behave(target.Name, behaviour{haltAt: 3, resume: w.c.Context().Done()})
+	}
+	ctx, cancel := context.WithCancel(w.c.Context())
+	defer cancel()
+	runner, answers := w.start(ctx, &caller{})
+	w.behave(w.others(runner)[0], behaviour{begin: w.c.Context().Done()})
+	w.waitUntil(func() bool { return len(w.seen()) == 2 })
+	cancel()
+	w.c.Assert(<-answers, quicktest.Equals, chain.Answer(chain.Left{}))
+	w.c.Assert(w.sender.Picker.Own().Targets, quicktest.HasLen, 0)
+	w.waitUntil(func() bool { return w.seen()[0].left && w.seen()[1].left })
+}
