flight: the test of crashes during an offer has a fixed order

Cause: the target that was offered the stream began to answer at the moment at which the first one crashed, so that either could be seen first.

Change: it begins once the loss of the first one is known.

Ruled out: a pause; the order would depend on the speed of the machine.

--- a/entry/flight/move_test.go
+++ b/entry/flight/move_test.go
@@ -134,14 +134,17 @@
 		w.behave(target.Name, behaviour{crash: crash[0]})
 	}
 	runner, answers := w.start(w.c.Context(), &caller{})
+	begin := make(chan struct{})
 	for _, name := range w.others(runner) {
-		w.behave(name, behaviour{begin: crash[0], crash: crash[1]})
+		w.behave(name, behaviour{begin: begin, crash: crash[1]})
 	}
 	w.waitUntil(func() bool { return len(w.seen()) == 2 })
 	for _, name := range w.others(w.seen()[1].target) {
 		w.behave(name, behaviour{begin: w.c.Context().Done()})
 	}
 	close(crash[0])
+	w.waitUntil(func() bool { return !w.isSound(runner) })
+	close(begin)
 	w.waitUntil(func() bool { return len(w.seen()) == 3 })
 	close(crash[1])
 	crashedAt := time.Now()
--- a/entry/flight/world_test.go
+++ b/entry/flight/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -194,6 +195,11 @@
 	return others
 }
 
+// isSound reports whether the sender takes a target for sound.
+func (w *world) isSound(name string) bool {
+	return slices.ContainsFunc(w.targets, func(t site.Target) bool { return t.Name == name && w.sender.Picker.IsSound(t) })
+}
+
 // waitUntil waits for a condition, and fails the test after waitTimeout.
 func (w *world) waitUntil(condition func() bool) {
 	w.c.Helper()
