feed, wait, cloud: calls of the store are limited by their progress

Cause: a list of the store ended 600 ms after its start, a watch 1.3 s after its start, even while their bytes kept coming. A page of 1 MB takes 0.84 s at 10 Mbit/s, so it could never be listed, and the copy of the objects stayed old.

Change: a call ends when no byte has come for 600 ms, counted from its start, from the head of the response and from each read of its body; each page of a list starts anew. A watch still waits 700 ms longer for its first byte. A call whose bytes go on coming ends after 8 s (a response of 8 MB, the most that is read, takes 6.7 s at 10 Mbit/s). wait.Limits makes such contexts, and the client of the store records its progress in them. A silent store is given up at the same time as before.

Ruled out: a longer limit on the whole call, as a silent store would be noticed later. The calls of a start (entry/inst, 1 s each) read single objects and keep their limit.

--- a/core/wait/doc.go
+++ b/core/wait/doc.go
@@ -1,3 +1,3 @@
-// Package wait provides a sleep that ends early with its context, and the
-// background loop of a controller.
+// Package wait provides a sleep that ends early with its context, limits on
+// calls by their progress, and the background loop of a controller.
 package wait
--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -19,8 +19,10 @@
 	// watchWait is how long one watch waits for a change. A store that dropped its history leaves watches without
 	// an answer, and changes have to be applied within 2 s.
 	watchWait = 700 * time.Millisecond
-	// callTimeout bounds a list, and a watch beyond its wait.
+	// callTimeout is how long a list goes on without a byte from the store, and a watch beyond its wait.
 	callTimeout = 600 * time.Millisecond
+	// maxCallTime bounds a call whose bytes go on coming; a response of 8 MB takes 6.7 s at 10 Mbit/s.
+	maxCallTime = 8 * time.Second
 	// backoffBase is the delay after the first failed call.
 	backoffBase = 150 * time.Millisecond
 	// backoffStandby is the delay of the instances that take over last. It is long since failed calls are billed
@@ -51,7 +53,7 @@
 // ErrForgotten is returned by Watch when the store has dropped the history after the revision.
 var ErrForgotten = errors.New("store no longer holds the history after this revision")
 
-// Source reads objects of one kind from the store.
+// Source reads objects of one kind from the store; it records the progress of its calls with wait.Progress.
 type Source interface {
 	// List returns all objects.
 	List(ctx context.Context) (mirror.Page, error)
@@ -298,14 +300,14 @@
 // when the history is gone.
 func (w *watcher) listOrWatch(ctx context.Context, isFirst bool) (mirror.Page, error) {
 	if !w.listed {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := wait.Limits{First: callTimeout, Silence: callTimeout, Whole: maxCallTime}.Context(ctx)
 		defer cancel()
 		if isFirst {
 			return w.feed.store.ListStale(ctx)
 		}
 		return w.feed.store.List(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	ctx, cancel := wait.Limits{First: watchWait + callTimeout, Silence: callTimeout, Whole: maxCallTime}.Context(ctx)
 	defer cancel()
 	page, err := w.feed.store.Watch(ctx, w.revision, watchWait)
 	if err != nil {
