--- a/entry/offer/offer.go
+++ b/entry/offer/offer.go
@@ -37,11 +37,8 @@
 	return o
 }
 
-// Steps returns the channel that receives the first step, and one more for each call of Ask. It is nil for no offer.
+// Steps returns the channel that receives the first step, and one more for each call of Ask.
 func (o *Offer) Steps() <-chan Step {
-	if o == nil {
-		return nil
-	}
 	return o.steps
 }
 
