boot: the instances of a test have loopback addresses of their own

Cause, in the test: it took a free port of 127.0.0.1, closed it and let the instance listen on it a moment later. Meanwhile the kernel gave the port to an outgoing connection of another program, or of this test.

Class: a check and an act on it with a gap between.

Change: each instance listens on 127.0.78.N, from which nothing connects, as in package cmds of platform, and its ports are chosen while the others are held. Nothing that is checked has changed.

--- a/entry/internal/boot/instance_test.go
+++ b/entry/internal/boot/instance_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,9 @@
 
 const operatorKey = "operator"
 
+// hostCount counts the loopback addresses given out.
+var hostCount atomic.Int32
+
 // testFleet is a fleet of instances in this process. They use real sockets, and stand-ins for the platform, the
 // engines and a service.
 type testFleet struct {
@@ -82,9 +86,10 @@
 	for _, i := range f.instances {
 		seeds = append(seeds, i.settings.PeerListen)
 	}
+	callers, operators, peers := freeAddresses(f.c)
 	s := Settings{
 		Name: name, Domain: "d", Platform: f.platform, FleetSecret: "0123456789abcdef", OperatorHash: hash(operatorKey),
-		Listen: freePort(f.c, "tcp"), PeerListen: freePort(f.c, "udp"), AdminListen: freePort(f.c, "tcp"),
+		Listen: callers, PeerListen: peers, AdminListen: operators,
 		Seeds: seeds, Budget: 12, Costly: 8, Linger: time.Second, DrainTimeout: 20 * time.Second,
 	}
 	f.c.Assert(s.Check(), quicktest.IsNil)
@@ -145,18 +150,21 @@
 	return ""
 }
 
-// freePort returns a local address with a port that was free a moment ago.
-func freePort(c *quicktest.C, network string) string {
-	if network == "udp" {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+// freeAddresses returns two TCP addresses and a UDP address with ports that were free a moment ago. Their host is used by
+// one instance only, so that no outgoing connection of another program takes one of the ports.
+func freeAddresses(c *quicktest.C) (callers, operators, peers string) {
+	host := fmt.Sprintf("127.0.78.%d", hostCount.Add(1))
+	var tcp [2]net.Listener // Both stay open until the ports are chosen, so that none is chosen twice.
+	for i := range tcp {
+		listener, err := net.Listen("tcp", host+":0")
 		c.Assert(err, quicktest.IsNil)
-		defer func() { _ = conn.Close() }()
-		return conn.LocalAddr().String()
+		defer func() { _ = listener.Close() }()
+		tcp[i] = listener
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	udp, err := net.ListenPacket("udp", host+":0")
 	c.Assert(err, quicktest.IsNil)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	defer func() { _ = udp.Close() }()
+	return tcp[0].Addr().String(), tcp[1].Addr().String(), udp.LocalAddr().String()
 }
 
 // hash returns the SHA-256 hash of a key in hexadecimal.
