--- a/entry/flight/world_test.go
+++ b/entry/flight/world_test.go
@@ -31,6 +31,7 @@
 	eventTotal  = 8                     // eventTotal is the number of events of each stream.
 	eventPace   = 20 * time.Millisecond // eventPace is the time between two events.
 	waitTimeout = 10 * time.Second      // waitTimeout bounds each wait of a test.
+	echoHeader  = "Echo-Id"             // echoHeader is the header in which targets repeat a request's id.
 )
 
 // behaviour says how a target answers. Channels that are nil let it go on at once.
@@ -79,7 +80,7 @@
 		w.targets = append(w.targets, site.Target{Name: name, Service: testService, Address: server.Listener.Addr().String(), Domain: name, Revision: uint64(i + 1)})
 	}
 	logger, set := &log.Logger{Handler: discard.New()}, metrics.NewSet()
-	targetLink := link.New(link.Settings{EchoHeader: "X-Request-Id"}, set)
+	targetLink := link.New(link.Settings{EchoHeader: echoHeader}, set)
 	t.Cleanup(targetLink.Close)
 	targetPicker := picker.New(w, func(string) {}, logger, set)
 	t.Cleanup(targetPicker.Close)
@@ -104,8 +105,8 @@
 
 // serve answers a request to a target.
 func (w *world) serve(name string, rw http.ResponseWriter, r *http.Request) {
-	rw.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-	if r.Header.Get("X-Request-Id") == "" {
+	rw.Header().Set(echoHeader, r.Header.Get(echoHeader))
+	if r.Header.Get(echoHeader) == "" {
 		return
 	}
 	w.mu.Lock()
@@ -261,7 +262,7 @@
 
 // Header returns the id of the request, and the last event that the caller has.
 func (plainDialect) Header(s send.Send) map[string][]string {
-	return map[string][]string{"X-Request-Id": {s.Call.ID}, "Last-Event-Id": {s.After}}
+	return map[string][]string{echoHeader: {s.Call.ID}, "Last-Event-Id": {s.After}}
 }
 
 // Copy returns an empty request.
