pass: a target that was slow to accept a connection is tried again when no other is left

Callers saw: now and then one request refused with 503 after 180 ms, though its only target was sound and had answered the requests before (TestForeignEntry/no-json, any-address and huge-number, once each beside six busy processes and other tests).

Cause: a connection has to be established within 150 ms. A full backlog or a lost SYN takes longer, the target then counted as tried, and with no other target the request was refused although most of its time was left.

Evidence: the log of a failing run names the timeout of the connection (i/o timeout) to the only target, and the refusal 30 ms later.

Class: a request is given up for an error that passes.

Change: targets whose connection timed out are tried again once no other target is left, at most four sends that reached no target in all, as before. The request was not sent, so this holds for requests that may run once only, too. A refused connection is not tried again: nothing listens there.

Ruled out: a longer limit for connections, which would hold up requests to lost targets while others are sound. Streams wait for a target already.

Before, TestSlowConnectionIsRetried (the backlog of the only target is full for 250 ms): no target of the service is left got: int(503) want: int(200) After: passes three times, with -race.

--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"time"
 
 	"bramleywharf.example/core/deny"
@@ -39,6 +40,7 @@
 	idempotent       bool
 	service          string
 	avoidedTargets   map[string]bool  // names of the targets that were tried
+	slowTargets      []string         // names of those to which no connection was established in time
 	sendCount        int              // attempts whose target may have received the request
 	unsentCount      int              // attempts that did not reach the intended target
 	current, former  *attempt         // the newest open attempt, and the one before it while that is still open
@@ -79,6 +81,8 @@
 			u.patience = nil
 		case ok:
 			u.start(ctx, pick)
+		case u.current == nil && u.allowSlowTargets():
+			continue
 		case u.current == nil:
 			return u.finalAnswer("no target of the service is left")
 		default:
@@ -90,6 +94,17 @@
 	}
 }
 
+// allowSlowTargets lets the request be sent to the targets that were slow to accept a connection, and reports whether
+// there are any. A dropped packet or a full backlog delays a connection by more than the time that is allowed for it.
+func (u *unaryCall) allowSlowTargets() bool {
+	slow := u.slowTargets
+	for _, name := range slow {
+		delete(u.avoidedTargets, name)
+	}
+	u.slowTargets = nil
+	return len(slow) > 0
+}
+
 // start sends the request to a target. An attempt that is still open stays so for overlapTimeout, in which the new
 // target can refuse the request.
 func (u *unaryCall) start(ctx context.Context, pick *picker.Pick) {
@@ -177,6 +192,9 @@
 	case notSent:
 		u.unsentCount++
 		u.hasReservedRetry = u.hasReservedRetry || a.isRepeat
+		if isTimeout(r.err) {
+			u.slowTargets = append(u.slowTargets, a.pick.Target.Name)
+		}
 	case notRun:
 		if r.misdirected {
 			// The intended target has ended, so it does not count as one that may have received the request.
@@ -323,6 +341,12 @@
 	}
 }
 
+// isTimeout reports whether an error was caused by a time limit of the connection.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // attemptTimeout returns how long to wait for one target before another may be tried.
 func (u *unaryCall) attemptTimeout(pick *picker.Pick) time.Duration {
 	return max(minAttemptTimeout, attemptTimeoutFactor*pick.Latency())
