inst: an instance is ready once it can choose among its targets

Cause: the start waited until the feed held the targets. The picker's table, from which requests choose, is built by the picker's own loop, and nothing waited for that. An instance could be ready with an empty table and answer 503 "no target of the service is left".

Change: the start reconciles the picker after the join, before it accepts callers.

Ruled out: the configuration and the keys, since the start waits for the decoded configuration. This is not the cause of the failure of TestForeignEntry/no-json, which sends 2 s after the instance is ready.

Conclusion: ready means that the first request finds the targets that the feed had when the start joined.

--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -242,6 +242,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	i.picker.Reconcile() // The feed can have targets that the picker's own loop has not applied yet.
 	return i.acceptCallers(members)
 }
 
--- a/entry/picker/bench_test.go
+++ b/entry/picker/bench_test.go
@@ -101,7 +101,7 @@
 				target := &source.targets[n%size]
 				target.Leaving = !target.Leaving
 				target.Revision += uint64(size)
-				p.reconcile()
+				p.Reconcile()
 			}
 		})
 	}
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -149,7 +149,7 @@
 func (p *Picker) loop(ctx context.Context) {
 	for {
 		changed, found := p.source.Changed(), p.successors.Changed()
-		p.reconcile()
+		p.Reconcile()
 		var expiryCheck <-chan time.Time
 		if p.targetTable.Load().targetSet.HasMissing() || p.successors.Load().Len() > 0 {
 			expiryCheck = time.After(expiryCheckInterval)
@@ -164,8 +164,9 @@
 	}
 }
 
-// reconcile updates the table from the declared targets.
-func (p *Picker) reconcile() {
+// Reconcile updates the table from the declared targets. The picker does so at each change of its source; a caller that
+// needs the targets of the source at once does not have to wait for that.
+func (p *Picker) Reconcile() {
 	p.reconcileMu.Lock()
 	defer p.reconcileMu.Unlock()
 	grace, settled := missingTargetGrace, p.source.Settled()
--- a/entry/picker/successor.go
+++ b/entry/picker/successor.go
@@ -12,7 +12,7 @@
 // platform lists the successor.
 func (p *Picker) Adopt(predecessor site.Target, successorName string) {
 	p.addSuccessor(site.Successor{Predecessor: predecessor, Name: successorName, FoundAt: time.Now()}, "found here")
-	p.reconcile()
+	p.Reconcile()
 }
 
 // endedTTL is how long the name of an ended target is remembered. It is longer than an older entry with the same
@@ -58,6 +58,6 @@
 		anyNew = p.addSuccessor(site.Successor{Predecessor: predecessor, Name: successor.Name, FoundAt: now.Add(-successor.Age)}, "found by a peer") || anyNew
 	}
 	if anyNew {
-		p.reconcile()
+		p.Reconcile()
 	}
 }
