send, flight, pass: one reservation of retries for streams and requests

No change of behaviour.

Ruled out: a method on Sender for each step with the flag left in both packages, which shares the calls and not the state.

--- a/entry/flight/ending.go
+++ b/entry/flight/ending.go
@@ -61,7 +61,7 @@
 		s.sendCount--
 	}
 	if !r.received {
-		s.hasReservedRetry = s.hasReservedRetry || a.isRepeat
+		s.reservation.Restore(a.isRepeat)
 	}
 }
 
@@ -86,7 +86,7 @@
 // retryOrFinish returns nil and false if the stream may go on at another target after its last open attempt has ended,
 // otherwise its final answer and true.
 func (s *stream) retryOrFinish(ctx context.Context, result outcome) (chain.Answer, bool) {
-	if r, ok := result.(notRun); ok && (!r.received || r.misdirected) && s.unsentCount <= maxUnsent && (!r.misdirected || s.reserveRetry()) {
+	if r, ok := result.(notRun); ok && (!r.received || r.misdirected) && s.unsentCount <= maxUnsent && (!r.misdirected || s.Reserve()) {
 		return nil, false
 	}
 	reason := ""
@@ -99,7 +99,7 @@
 		reason = "its attempts are used up"
 	case s.begins.Exhausted(ctx):
 		reason = crashReason
-	case !s.reserveRetry():
+	case !s.Reserve():
 		reason = "the retry bound is reached"
 	default:
 		s.waitAfterRefusal(ctx, result)
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -35,37 +35,37 @@
 // stream is the state of one streamed request over all its attempts. One goroutine owns it; others use only the atomic
 // fields and those that never change.
 type stream struct {
-	sender           *send.Sender
-	call             chain.Call
-	request          chain.Forward
-	policy           site.Stream
-	service          string
-	memoryTokens     int                   // capacity of one target in tokens, or 0
-	avoided          atomic.Pointer[names] // targets that failed an attempt; also read by monitors
-	current          *attempt              // attempt whose events the caller gets, or nil
-	next             *attempt              // attempt that may take the place of current, or nil
-	overlap          <-chan time.Time      // fires when next takes that place in any case; nil without next
-	silence          guard.Silence         // why next was opened
-	spacing          retry.Spacing         // time to leave between the offers that are refused
-	nextOfferAt      time.Time             // time before which no other target is offered the stream
-	refusers         []site.Target         // targets whose last answer to the stream was a refusal, the latest one last
-	usedAddresses    map[string]bool       // addresses that the request was sent to
-	sendCount        int                   // attempts whose target may have received the request
-	unsentCount      int                   // attempts that did not reach the intended target
-	resumeCount      int                   // times the stream went on at another target after its first event
-	begins           *send.Begins          // targets that were lost when they had begun to answer
-	wentOn           bool                  // whether a target went on after it had begun to answer
-	eventCount       int                   // events delivered to the caller
-	lastEventID      string                // id of the last event that the caller has
-	headSent         atomic.Bool           // whether the caller has the head of the response
-	mayHaveRun       bool                  // whether a target may have run the request
-	hasReservedRetry bool                  // whether a retry is reserved for the next attempt
-	endedBy          chain.Ending          // what ended the last interrupted attempt, or empty
-	failedResponse   *chain.Passed         // a target's error response, passed on if no other attempt succeeds
-	replicas         *guard.Replicas
-	lastEventAt      time.Time     // when the last event was delivered
-	firstEventDelay  time.Duration // time from the arrival of the request to the first event
-	longestGap       time.Duration // longest time between two events
+	sender          *send.Sender
+	call            chain.Call
+	request         chain.Forward
+	policy          site.Stream
+	service         string
+	memoryTokens    int                   // capacity of one target in tokens, or 0
+	avoided         atomic.Pointer[names] // targets that failed an attempt; also read by monitors
+	current         *attempt              // attempt whose events the caller gets, or nil
+	next            *attempt              // attempt that may take the place of current, or nil
+	overlap         <-chan time.Time      // fires when next takes that place in any case; nil without next
+	silence         guard.Silence         // why next was opened
+	spacing         retry.Spacing         // time to leave between the offers that are refused
+	nextOfferAt     time.Time             // time before which no other target is offered the stream
+	refusers        []site.Target         // targets whose last answer to the stream was a refusal, the latest one last
+	usedAddresses   map[string]bool       // addresses that the request was sent to
+	sendCount       int                   // attempts whose target may have received the request
+	unsentCount     int                   // attempts that did not reach the intended target
+	resumeCount     int                   // times the stream went on at another target after its first event
+	begins          *send.Begins          // targets that were lost when they had begun to answer
+	wentOn          bool                  // whether a target went on after it had begun to answer
+	eventCount      int                   // events delivered to the caller
+	lastEventID     string                // id of the last event that the caller has
+	headSent        atomic.Bool           // whether the caller has the head of the response
+	mayHaveRun      bool                  // whether a target may have run the request
+	reservation     *send.Reservation
+	endedBy         chain.Ending  // what ended the last interrupted attempt, or empty
+	failedResponse  *chain.Passed // a target's error response, passed on if no other attempt succeeds
+	replicas        *guard.Replicas
+	lastEventAt     time.Time     // when the last event was delivered
+	firstEventDelay time.Duration // time from the arrival of the request to the first event
+	longestGap      time.Duration // longest time between two events
 }
 
 // Run runs a stream until it is complete, refused or interrupted for good, or its caller has left.
@@ -107,6 +107,7 @@
 		lastEventID:   f.LastEvent,
 		begins:        send.NewBegins(sender, c, f),
 	}
+	s.reservation = sender.NewReservation(s.service)
 	s.avoided.Store(&names{})
 	keepsReplicas, replicaTTL := false, time.Duration(0)
 	if service, ok := c.Site.Service(s.service); ok && service.Engine != nil {
@@ -121,7 +122,7 @@
 func (s *stream) run(ctx context.Context) chain.Answer {
 	s.sender.Request(s.service)
 	defer s.replicas.Free(ctx)
-	defer s.returnRetry()
+	defer s.reservation.Return()
 	defer s.closeAttempts()
 	for {
 		pick, from, ok := s.chooseTarget(ctx)
@@ -258,20 +259,6 @@
 	return picker.Want{Service: s.service, Session: session, Prompt: s.request.Prompt.Tokens(), Memory: s.memoryTokens, Avoid: *s.avoided.Load()}
 }
 
-// reserveRetry reserves a retry for the next attempt, unless the bound on retries is reached.
-func (s *stream) reserveRetry() bool {
-	s.hasReservedRetry = s.hasReservedRetry || s.sender.Repeat(s.service)
-	return s.hasReservedRetry
-}
-
-// returnRetry gives back a retry that was reserved and not used.
-func (s *stream) returnRetry() {
-	if s.hasReservedRetry {
-		s.hasReservedRetry = false
-		s.sender.Unrepeat(s.service)
-	}
-}
-
 // hasAttemptsLeft reports whether the route allows the request to be sent to one more target.
 func (s *stream) hasAttemptsLeft() bool {
 	return s.sendCount < max(1, s.call.Route.MaxAttempts)
--- a/entry/flight/move.go
+++ b/entry/flight/move.go
@@ -65,7 +65,7 @@
 			s.overlap = time.After(overlapTimeout)
 			return
 		}
-		s.returnRetry()
+		s.reservation.Return()
 	}
 }
 
@@ -108,7 +108,7 @@
 // withdrawOffer closes the attempt that was to take the place of the current one, whose target has sent an event.
 func (s *stream) withdrawOffer() {
 	s.spacing, s.nextOfferAt = retry.Spacing{}, time.Time{}
-	defer s.returnRetry()
+	defer s.reservation.Return()
 	if s.next == nil {
 		return
 	}
@@ -152,7 +152,7 @@
 
 // Reserve reserves a retry for the stream, unless the bound on retries is reached.
 func (s *stream) Reserve() bool {
-	return s.reserveRetry()
+	return s.reservation.Reserve()
 }
 
 // removeRefuser removes a target from those that refused the stream, and reports whether it was one of them.
--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -34,32 +34,34 @@
 
 // unaryCall is a request with a single response, as opposed to a stream.
 type unaryCall struct {
-	sender           *send.Sender
-	call             chain.Call
-	request          chain.Forward
-	idempotent       bool
-	service          string
-	avoidedTargets   map[string]bool  // names of the targets that were tried
-	slowTargets      []string         // names of those to which no connection was established in time
-	sendCount        int              // attempts whose target may have received the request
-	unsentCount      int              // attempts that did not reach the intended target
-	current, former  *attempt         // the newest open attempt, and the one before it while that is still open
-	patience         <-chan time.Time // fires when another target may be tried; nil if none may
-	overlap          <-chan time.Time // fires when the former attempt is given up; nil without one
-	begins           *send.Begins     // targets that were lost when they had begun to answer
-	hasReservedRetry bool             // whether a retry is counted for the next attempt
-	mayHaveRun       bool             // whether a target may have run the request without a valid answer
-	failedResponse   *chain.Passed    // a target's error response, passed on if no other attempt succeeds
+	sender          *send.Sender
+	call            chain.Call
+	request         chain.Forward
+	idempotent      bool
+	service         string
+	avoidedTargets  map[string]bool  // names of the targets that were tried
+	slowTargets     []string         // names of those to which no connection was established in time
+	sendCount       int              // attempts whose target may have received the request
+	unsentCount     int              // attempts that did not reach the intended target
+	current, former *attempt         // the newest open attempt, and the one before it while that is still open
+	patience        <-chan time.Time // fires when another target may be tried; nil if none may
+	overlap         <-chan time.Time // fires when the former attempt is given up; nil without one
+	begins          *send.Begins     // targets that were lost when they had begun to answer
+	reservation     *send.Reservation
+	mayHaveRun      bool          // whether a target may have run the request without a valid answer
+	failedResponse  *chain.Passed // a target's error response, passed on if no other attempt succeeds
 }
 
 // newUnaryCall returns a call whose request has not been sent.
 func newUnaryCall(s *send.Sender, c chain.Call, f chain.Forward, idempotent bool) *unaryCall {
+	service := c.Route.PickService(rand.Float64())
 	return &unaryCall{
 		sender:         s,
 		call:           c,
 		request:        f,
 		idempotent:     idempotent,
-		service:        c.Route.PickService(rand.Float64()),
+		service:        service,
+		reservation:    s.NewReservation(service),
 		avoidedTargets: make(map[string]bool),
 		begins:         send.NewBegins(s, c, f),
 	}
@@ -116,7 +118,7 @@
 	left := send.Left(u.call, u.request)
 	message := u.sender.Outgoing(send.Send{Call: u.call, Target: pick.Target, Left: left}, u.request, !u.idempotent)
 	next, exchange := newAttempt(ctx, u.sender, u.call, pick, message)
-	next.isRepeat, u.hasReservedRetry = u.hasReservedRetry, false
+	next.isRepeat = u.reservation.Take()
 	u.former, u.current = u.current, next
 	u.patience, u.overlap = nil, nil
 	if u.former == nil && !u.MayRetry() {
@@ -191,7 +193,7 @@
 	switch r := result.(type) {
 	case notSent:
 		u.unsentCount++
-		u.hasReservedRetry = u.hasReservedRetry || a.isRepeat
+		u.reservation.Restore(a.isRepeat)
 		if isTimeout(r.err) {
 			u.slowTargets = append(u.slowTargets, a.pick.Target.Name)
 		}
@@ -230,10 +232,7 @@
 		a.pick.Release()
 	}
 	u.former, u.current = nil, nil
-	if u.hasReservedRetry {
-		u.hasReservedRetry = false
-		u.sender.Unrepeat(u.service)
-	}
+	u.reservation.Return()
 }
 
 // openCount returns the number of open attempts.
@@ -260,8 +259,7 @@
 
 // Reserve reserves a retry for the next attempt, unless the bound on retries is reached.
 func (u *unaryCall) Reserve() bool {
-	u.hasReservedRetry = u.hasReservedRetry || u.sender.Repeat(u.service)
-	return u.hasReservedRetry
+	return u.reservation.Reserve()
 }
 
 // retryOrFinish returns nil and false if the request may go to another target, otherwise its final answer and true.
