send: begins answer for the parts of their request

Both packages also had their own copies of two reasons.

Change: Begins.Blocked, Answered and Parts; the reasons stand beside them. isBlocked of a stream looks at its own state first. No change of behaviour.

--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -158,7 +158,7 @@
 		if !s.isEnd(a) {
 			return interruptedBy(errors.New("response ended before its first event"))
 		}
-		s.sender.Blocks.Answered(s.request.Prompt.Shared())
+		s.begins.Answered()
 		return completed{}
 	case offer.Broken:
 		end := interruptedBy(r.Err)
@@ -201,7 +201,7 @@
 		}
 	case 1:
 		s.wentOn = true
-		s.sender.Blocks.Answered(s.request.Prompt.Shared())
+		s.begins.Answered()
 	}
 	if err := s.deliver(a, e); err != nil {
 		return callerGone{}
--- a/entry/flight/ending.go
+++ b/entry/flight/ending.go
@@ -11,9 +11,6 @@
 	"github.com/apex/log"
 )
 
-// crashReason tells why a stream ends that has lost as many targets at their begin as it may.
-const crashReason = "targets crashed when they had begun to answer it"
-
 // settle records how an attempt ended. It returns the answer to the caller and true, or nil and false if the stream may
 // go on.
 func (s *stream) settle(ctx context.Context, a *attempt, result outcome) (chain.Answer, bool) {
@@ -98,7 +95,7 @@
 	case !s.hasAttemptsLeft() && !s.mayAskRefusers():
 		reason = "its attempts are used up"
 	case s.begins.Exhausted(ctx):
-		reason = crashReason
+		reason = send.CrashReason
 	case !s.Reserve():
 		reason = "the retry bound is reached"
 	default:
@@ -161,7 +158,7 @@
 		}
 		fields["ended-by"] = string(r.endedBy)
 		if r.atBegin {
-			fields["parts"] = strings.Join(s.request.Prompt.Shared(), ",")
+			fields["parts"] = strings.Join(s.begins.Parts(), ",")
 		}
 		s.sender.Log.WithFields(fields).WithField("cause", r.cause).Info("stream ended before its last event")
 	case wholeResponse:
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -131,7 +131,7 @@
 		}
 		if s.isBlocked() {
 			pick.Release()
-			return s.finalAnswer("a part of its prompt crashes targets")
+			return s.finalAnswer(send.BlockedReason)
 		}
 		s.current = s.open(ctx, pick, from)
 		for s.current != nil {
@@ -174,7 +174,7 @@
 		return s.retryOrFinish(ctx, result)
 	}
 	if r, ok := result.(interrupted); ok && r.atBegin && (s.begins.Exhausted(ctx) || s.isBlocked()) {
-		return s.finalAnswer(crashReason), true
+		return s.finalAnswer(send.CrashReason), true
 	}
 	return nil, false
 }
@@ -271,6 +271,5 @@
 
 // isBlocked reports whether a part of the prompt is known to crash targets. A stream with which a target went on does not.
 func (s *stream) isBlocked() bool {
-	_, ok := s.sender.Blocks.Blocked(s.request.Prompt.Shared())
-	return ok && !s.wentOn
+	return !s.wentOn && s.begins.Blocked()
 }
--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -73,11 +73,11 @@
 	defer u.close()
 	for {
 		pick, ok := u.sender.Picker.Plain(picker.Want{Service: u.service, Avoid: u.avoidedTargets})
-		_, blocked := u.sender.Blocks.Blocked(u.request.Prompt.Shared())
+		blocked := u.begins.Blocked()
 		switch {
 		case ok && blocked && u.current == nil:
 			pick.Release()
-			return u.finalAnswer("a part of its prompt crashes targets")
+			return u.finalAnswer(send.BlockedReason)
 		case ok && blocked:
 			pick.Release()
 			u.patience = nil
@@ -279,7 +279,7 @@
 	case u.sendCount >= u.call.Route.MaxAttempts:
 		return u.finalAnswer("its attempts are used up"), true
 	case u.begins.Exhausted(ctx):
-		return u.finalAnswer("targets crashed when they had begun to answer it"), true
+		return u.finalAnswer(send.CrashReason), true
 	case !u.Reserve():
 		return u.finalAnswer("the retry bound is reached"), true
 	}
@@ -317,7 +317,7 @@
 func (u *unaryCall) recordOutcome(ctx context.Context, a *attempt, result outcome) {
 	if r, ok := result.(answered); ok {
 		if !r.response.Failed() {
-			u.sender.Blocks.Answered(u.request.Prompt.Shared())
+			u.begins.Answered()
 		}
 		return
 	}
--- a/entry/send/begin.go
+++ b/entry/send/begin.go
@@ -17,6 +17,12 @@
 // coincidence.
 const maxBeginLosses = 2
 
+// Reasons why a request is not sent to one more target.
+const (
+	BlockedReason = "a part of its prompt crashes targets"
+	CrashReason   = "targets crashed when they had begun to answer it"
+)
+
 const (
 	// crashProbes is the number of times that a target is probed to find out whether it has crashed.
 	crashProbes = 2
@@ -81,6 +87,22 @@
 	return len(b.losses) >= maxBeginLosses
 }
 
+// Blocked reports whether a part of the prompt is known to crash targets.
+func (b *Begins) Blocked() bool {
+	_, ok := b.sender.Blocks.Blocked(b.parts)
+	return ok
+}
+
+// Answered records that a target went on after it had begun to answer the request.
+func (b *Begins) Answered() {
+	b.sender.Blocks.Answered(b.parts)
+}
+
+// Parts returns the ids of the parts of the prompt that other requests may have as well.
+func (b *Begins) Parts() []string {
+	return b.parts
+}
+
 // wouldBlock reports whether the request is blocked once a loss is recorded.
 func (b *Begins) wouldBlock(loss *beginLoss) bool {
 	return b.sender.Blocks.WouldBlock(b.parts, loss.target.Name, b.id)
