send, link: one question for a target's report, one test for a request that was not sent

Cause: guard and send each asked a target for its report, told an unreachable one apart and logged a report that cannot be decoded; four places declared a variable for errors.As to learn that a request was not sent.

Change: Sender.AskProgress and link.IsNotSent. A comment named a constant that is gone (silenceTimeout); a line of boot was too long. No change of behaviour.

--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -178,18 +178,12 @@
 func (m *Monitor) checkProgress(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, progressCheckTimeout)
 	defer cancel()
-	_, body, err := m.subject.Sender.Link.Exchange(ctx, m.subject.Sender.Dialect.Ask(m.subject.Pick.Target))
-	var notSentErr *link.NotSentError
-	if errors.As(err, &notSentErr) {
+	p, err := m.subject.Sender.AskProgress(ctx, m.subject.Pick.Target, m.subject.Call.ID)
+	if link.IsNotSent(err) {
 		return ErrUnreachable
 	}
 	if err != nil {
-		return nil // A target that is slow to report may still be reading the prompt; silenceTimeout bounds that.
-	}
-	p, err := m.subject.Sender.Dialect.Progress(m.subject.Call.ID, body)
-	if err != nil {
-		m.subject.Sender.Log.WithError(err).WithField("target", m.subject.Pick.Target.Name).Info("report of the target cannot be decoded")
-		return nil
+		return nil // A target that is slow to report may still be reading the prompt; flow.Silence bounds that.
 	}
 	if p.Events > 0 || !p.Listed && p.Unnamed == 0 && time.Since(m.startedAt) > reportLag {
 		return ErrStreamLost
--- a/entry/internal/boot/instance.go
+++ b/entry/internal/boot/instance.go
@@ -98,7 +98,8 @@
 }
 
 // drain tells the fleet that this instance is leaving, then accepts new calls for the lame-duck time, since callers
-// may still hold its address; answers close their connections. After that it refuses new calls, waits for those in progress and stops.
+// may still hold its address; answers close their connections. After that it refuses new calls, waits for those in
+// progress and stops.
 func (i *Instance) drain() {
 	i.callerServer.Leave()
 	i.node.Fleet.Leave()
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -56,6 +56,12 @@
 // Unwrap returns the error that kept the request from being sent.
 func (e *NotSentError) Unwrap() error { return e.Err }
 
+// IsNotSent reports whether err means that the target never received the request.
+func IsNotSent(err error) bool {
+	var notSentErr *NotSentError
+	return errors.As(err, &notSentErr)
+}
+
 // Request is one request to a target.
 type Request struct {
 	Address string
--- a/entry/offer/offer.go
+++ b/entry/offer/offer.go
@@ -82,8 +82,7 @@
 func open(ctx context.Context, s *send.Sender, pick *picker.Pick, message send.Send, forward chain.Forward, fresh bool) Step {
 	s.Counts.Sends.Inc()
 	reply, err := s.Link.Send(ctx, s.Outgoing(message, forward, fresh))
-	var notSentErr *link.NotSentError
-	if errors.As(err, &notSentErr) {
+	if link.IsNotSent(err) {
 		s.Counts.Unsent.Inc()
 		return NotRun{Cause: err.Error()}
 	}
--- a/entry/pass/attempt.go
+++ b/entry/pass/attempt.go
@@ -74,8 +74,7 @@
 func (a *attempt) exchange(ctx context.Context, s *send.Sender, call chain.Call, message link.Request) outcome {
 	startedAt := time.Now()
 	reply, body, err := s.Link.Exchange(ctx, message)
-	var notSentErr *link.NotSentError
-	if errors.As(err, &notSentErr) {
+	if link.IsNotSent(err) {
 		s.Counts.Unsent.Inc()
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			a.pick.Lost(err.Error())
--- a/entry/send/backlog.go
+++ b/entry/send/backlog.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"bramleywharf.example/core/route"
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/entry/link"
-	"github.com/pkg/errors"
 )
 
 // askTimeout bounds the question for a backlog. A target answers in about a millisecond, and reading a prompt takes a
@@ -30,18 +30,27 @@
 
 // askBacklog asks one target how many prompts it has to read.
 func (s *Sender) askBacklog(ctx context.Context, target site.Target) route.Backlog {
-	_, body, err := s.Link.Exchange(ctx, s.Dialect.Ask(target))
-	var notSentErr *link.NotSentError
-	if errors.As(err, &notSentErr) {
+	progress, err := s.AskProgress(ctx, target, "")
+	switch {
+	case link.IsNotSent(err):
 		return route.Unreachable{}
+	case err != nil:
+		return route.Unasked{}
+	default:
+		return route.Unread{Prompts: progress.Unnamed}
 	}
+}
+
+// AskProgress asks a target for its report, and returns what it says of the request with an id.
+func (s *Sender) AskProgress(ctx context.Context, target site.Target, id string) (Progress, error) {
+	_, body, err := s.Link.Exchange(ctx, s.Dialect.Ask(target))
 	if err != nil {
-		return route.Unasked{}
+		return Progress{}, fmt.Errorf("ask for a report: %w", err)
 	}
-	progress, err := s.Dialect.Progress("", body)
+	progress, err := s.Dialect.Progress(id, body)
 	if err != nil {
 		s.Log.WithError(err).WithField("target", target.Name).Info("report of the target cannot be decoded")
-		return route.Unasked{}
+		return Progress{}, fmt.Errorf("report of target %s: %w", target.Name, err)
 	}
-	return route.Unread{Prompts: progress.Unnamed}
+	return progress, nil
 }
