review: a stream cut by a crash ends as complete (ORDER)

Cause: the end of a response without length or chunks counts as the end of the stream once an event was sent, also when the engine has crashed. Nothing is fixed.

--- /dev/null
+++ b/review/world/cases.go
@@ -0,0 +1,246 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// playUnframed sends streams whose answers have neither a length nor chunks, and kills one of three engines. It reports
+// whether no stream ended as complete before its last piece.
+func playUnframed(w *world) (bool, error) {
+	w.store.configure(config(7, 16384))
+	var engines []*serverProcess
+	for i := range 3 {
+		p, err := w.startServer(i, fmt.Sprintf("i-engine%d", i), "design-llm", "--unframed")
+		if err != nil {
+			return false, err
+		}
+		engines = append(engines, p)
+	}
+	if err := w.startMachines(3); err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second) // All machines are in touch by then.
+	addresses := w.resolve(w.machines[0])
+	if len(addresses) == 0 {
+		return false, fmt.Errorf("the directory gives no address")
+	}
+	if w.trouble {
+		time.AfterFunc(6*time.Second, func() { w.signal(engines[0], syscall.SIGKILL) })
+		time.AfterFunc(10500*time.Millisecond, func() {
+			if _, err := w.startServer(0, "i-engine0-again", "design-llm", "--unframed"); err != nil {
+				w.record("engine did not start again: %v", err)
+			}
+		})
+	}
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	whole, broken, early := 0, 0, 0
+	for i := range 40 {
+		group.Go(func() {
+			q := request{
+				id: fmt.Sprintf("stream%08d", i), method: "POST", path: "/lohu930/2f", deadline: 25 * time.Second, body: "brief",
+				header: map[string]string{"X-Model": "m", "X-Token-Usage": "8200,1000", "X-Prompt-Prefix": fmt.Sprintf("a%x:200,b%x:8000", i%5, i)},
+			}
+			a := w.send(addresses[i%len(addresses)], q)
+			pieces := strings.Count(a.body, "\n\n")
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case a.status != 200 || a.err != nil:
+				broken++
+			case pieces == pieceCount:
+				whole++
+			default:
+				early++
+				w.record("stream %s ended as complete after %d of %d pieces", q.id, pieces, pieceCount)
+			}
+		})
+		time.Sleep(250 * time.Millisecond)
+	}
+	group.Wait()
+	w.record("%d streams were whole, %d were refused or broken off, %d ended as complete before their last piece", whole, broken, early)
+	if !w.trouble && whole != 40 {
+		return false, fmt.Errorf("without the disruption only %d streams were whole", whole)
+	}
+	return early == 0, nil
+}
+
+// playLeaving lets a server leave while the machine is cut off from the store and from the other machines. It reports
+// whether the machine sent the server nothing later than drain_ms after it had passed on an answer with Server-Leaving.
+func playLeaving(w *world) (bool, error) {
+	w.store.configure(config(7, 16384))
+	var servers []*serverProcess
+	for i := range 3 {
+		p, err := w.startServer(i, fmt.Sprintf("i-orders%d", i), "shop-orders", "--work", "100ms", "--lingers", "4500ms")
+		if err != nil {
+			return false, err
+		}
+		servers = append(servers, p)
+	}
+	if err := w.startMachines(1); err != nil {
+		return false, err
+	}
+	m := w.machines[0]
+	time.Sleep(4 * time.Second) // The machine is in touch by then.
+	addresses := w.resolve(m)
+	if len(addresses) == 0 {
+		return false, fmt.Errorf("the directory gives no address")
+	}
+	if w.trouble {
+		w.record("machine %s is cut off from the store and from the other machines", m.name)
+		m.door.shut()
+		time.AfterFunc(5500*time.Millisecond, func() {
+			w.record("the cut has healed")
+			m.door.open()
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	leaver := servers[0]
+	w.signal(leaver, syscall.SIGTERM)
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	sent := map[string]time.Time{}
+	var firstPassed time.Time // firstPassed is when a client first got an answer with Server-Leaving.
+	lost := 0
+	for i := range 240 {
+		group.Go(func() {
+			q := request{id: fmt.Sprintf("order%08d", i), method: "POST", path: "/puxa403/2f", deadline: 1500 * time.Millisecond, body: "order"}
+			mu.Lock()
+			sent[q.id] = time.Now()
+			mu.Unlock()
+			a := w.send(addresses[0], q)
+			mu.Lock()
+			defer mu.Unlock()
+			if a.status == 200 && a.header.Get("Server-Leaving") != "" && (firstPassed.IsZero() || a.gotAt.Before(firstPassed)) {
+				firstPassed = a.gotAt
+			}
+			if a.status != 200 && a.status != 503 && a.status != 429 {
+				lost++
+				w.record("order %s has no answer that says what became of it", q.id)
+			}
+		})
+		time.Sleep(25 * time.Millisecond)
+	}
+	group.Wait()
+	time.Sleep(200 * time.Millisecond)
+	late := 0
+	for _, e := range w.said() {
+		if e.server != leaver.id || e.what != "arrives" || firstPassed.IsZero() {
+			continue
+		}
+		if after := sent[e.id].Sub(firstPassed); after > drainTime {
+			late++
+			w.record("request %s was sent %d ms after the machine had passed on an answer with Server-Leaving, and reached %s", e.id, after.Milliseconds(), e.server)
+		}
+	}
+	passedOn := "never"
+	if !firstPassed.IsZero() {
+		passedOn = fmt.Sprintf("at %.3f", firstPassed.Sub(w.start).Seconds())
+	}
+	w.record("first answer with Server-Leaving passed on %s; %d requests sent later than %d ms after it reached the server; %d orders have an unknown outcome", passedOn, late, drainTime.Milliseconds(), lost)
+	return late == 0, nil
+}
+
+// playLimits raises max_header_bytes by a new version. It reports whether requests that the new limits allow are served.
+func playLimits(w *world) (bool, error) {
+	const before, after = 16384, 65536
+	if w.trouble {
+		w.store.configure(config(7, before))
+	} else {
+		w.store.configure(config(9, after))
+	}
+	for i := range 3 {
+		if _, err := w.startServer(i, fmt.Sprintf("i-orders%d", i), "shop-orders"); err != nil {
+			return false, err
+		}
+	}
+	if err := w.startMachines(3); err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second) // All machines are in touch by then.
+	if w.trouble {
+		w.store.configure(config(9, after))
+		w.record("the store has acknowledged version 9, with max_header_bytes %d in place of %d", after, before)
+	}
+	time.Sleep(applyTime + time.Second)
+	addresses := w.resolve(w.machines[0])
+	if len(addresses) == 0 {
+		return false, fmt.Errorf("the directory gives no address")
+	}
+	denied, served, count := 0, 0, 60
+	for i := range count {
+		q := request{id: fmt.Sprintf("status%08d", i), method: "GET", path: "/cufi504/fi50/2f", deadline: 1500 * time.Millisecond}
+		if i%2 == 0 {
+			q.header = map[string]string{"X-Order-List": strings.Repeat("engraving-0123456789,", 1800)} // 37,800 bytes
+		}
+		a := w.send(addresses[i%len(addresses)], q)
+		switch {
+		case a.status == 200 && a.err == nil:
+			served++
+		case a.status >= 300 && a.status < 500 && a.status != 408 && a.status != 421 && a.status != 429:
+			denied++
+			w.record("request %s with %d bytes of headers was denied with %d", q.id, len(q.header["X-Order-List"]), a.status)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	allowed := 5 + count/500
+	w.record("%d of %d requests served, %d denied; %d may be", served, count, denied, allowed)
+	return denied <= allowed, nil
+}
+
+// playRetryHint lets a server refuse requests with Retry-After. It reports whether the machines keep away from it for so
+// long.
+func playRetryHint(w *world) (bool, error) {
+	w.store.configure(config(7, 16384))
+	var servers []*serverProcess
+	for i := range 3 {
+		p, err := w.startServer(i, fmt.Sprintf("i-orders%d", i), "shop-orders", "--hint", "5s")
+		if err != nil {
+			return false, err
+		}
+		servers = append(servers, p)
+	}
+	if err := w.startMachines(3); err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second)
+	addresses := w.resolve(w.machines[0])
+	if len(addresses) == 0 {
+		return false, fmt.Errorf("the directory gives no address")
+	}
+	if w.trouble {
+		w.signal(servers[0], syscall.SIGUSR1)
+	}
+	machineOf := map[string]string{}
+	for i := range 300 {
+		q := request{id: fmt.Sprintf("status%08d", i), method: "GET", path: "/cufi504/fi50/2f", deadline: 1500 * time.Millisecond}
+		address := addresses[i%len(addresses)]
+		machineOf[q.id] = address
+		w.send(address, q)
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(200 * time.Millisecond)
+	since := map[string]time.Time{} // since holds the first refusal to each machine.
+	late := map[string]int{}
+	for _, e := range w.said() {
+		from := machineOf[e.id]
+		if e.server == servers[0].id && e.what == "arrives" {
+			if at, ok := since[from]; ok && e.at.Sub(at) > 500*time.Millisecond && e.at.Sub(at) < 5*time.Second {
+				late[from]++
+			}
+		}
+		if _, ok := since[from]; !ok && e.what == "refuses" {
+			since[from] = e.at
+		}
+	}
+	held := true
+	for from, count := range late {
+		w.record("%d requests reached %s from %s between 0.5 s and 5 s after its answer with Retry-After: 5", count, servers[0].id, from)
+		held = held && count <= 2
+	}
+	return held, nil
+}
