--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -308,3 +308,63 @@
 		}
 	}
 }
+
+// playGrace raises grace_s in the settings file of a machine, with SIGHUP, and stops the machine later. It reports whether
+// the machine cut no request whose server was done before the last sixth of grace_s.
+func playGrace(w *world) (bool, error) {
+	const before, after = 8, 20
+	w.grace = before
+	if !w.trouble {
+		w.grace = after
+	}
+	w.store.configure(config(7, 16384))
+	for i := range 3 {
+		if _, err := w.startServer(i, fmt.Sprintf("i-engine%d", i), "design-llm", "--pace", "80ms"); err != nil {
+			return false, err
+		}
+	}
+	if err := w.startMachines(2); err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second) // All machines are in touch by then.
+	m := w.machines[0]
+	if w.trouble {
+		w.grace = after
+		w.record("grace_s is %d in place of %d", after, before)
+		if err := w.changeSettings(m); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(5 * time.Second)
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	whole, cut := 0, 0
+	for i := range 20 {
+		group.Go(func() {
+			q := request{
+				id: fmt.Sprintf("stream%08d", i), method: "POST", path: "/lohu930/2f", deadline: 25 * time.Second, body: "brief",
+				header: map[string]string{"X-Model": "m", "X-Token-Usage": "8200,1000", "X-Prompt-Prefix": fmt.Sprintf("a%x:200,b%x:8000", i%5, i)},
+			}
+			a := w.send(m.ip+":8227", q)
+			mu.Lock()
+			defer mu.Unlock()
+			if a.status == 200 && a.err == nil && strings.Count(a.body, "\n\n") == pieceCount {
+				whole++
+				return
+			}
+			cut++
+			w.record("stream %s was cut", q.id)
+		})
+		time.Sleep(100 * time.Millisecond)
+	}
+	w.record("SIGTERM to %s; SIGKILL would follow %d s later", m.name, after)
+	if err := m.process.Process.Signal(syscall.SIGTERM); err != nil {
+		return false, err
+	}
+	stopped := time.Now()
+	kill := time.AfterFunc(after*time.Second, func() { _ = m.process.Process.Kill() })
+	defer kill.Stop()
+	group.Wait()
+	w.record("all streams have ended %.1f s after SIGTERM, before the last sixth of %d s; %d are whole, %d were cut", time.Since(stopped).Seconds(), after, whole, cut)
+	return cut == 0, nil
+}
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -20,6 +20,7 @@
 	"unframed": playUnframed,
 	"leaving":  playLeaving,
 	"limits":   playLimits,
+	"grace":    playGrace,
 	"deadly":   playDeadly,
 }
 
--- a/review/world/server.go
+++ b/review/world/server.go
@@ -19,8 +19,7 @@
 
 const (
 	heartbeat   = 1200 * time.Millisecond
-	pieceCount  = 140                   // pieceCount is the number of events of each stream.
-	piecePace   = 25 * time.Millisecond // piecePace is the time between two events.
+	pieceCount  = 140 // pieceCount is the number of events of each stream.
 	promptDelay = 300 * time.Millisecond
 )
 
@@ -31,6 +30,7 @@
 	lingers                           time.Duration // lingers is how long the server serves after the store has accepted its report.
 	unframed                          bool          // unframed leaves out length and chunks; answers end with their connection.
 	hint                              time.Duration // hint is the Retry-After of refusals, while full.
+	pace                              time.Duration // pace is the time between two events of a stream.
 	deadly                            string        // deadly is a part of prompts that crashes the server as it begins to answer.
 	deadlyEvent                       bool          // deadlyEvent lets it crash within its first event, not within its head.
 	full                              atomic.Bool   // full makes the server refuse all requests.
@@ -52,6 +52,7 @@
 	flags.DurationVar(&s.lingers, "lingers", 3*time.Second, "")
 	flags.DurationVar(&s.hint, "hint", 0, "")
 	flags.BoolVar(&s.unframed, "unframed", false, "")
+	flags.DurationVar(&s.pace, "pace", 25*time.Millisecond, "")
 	flags.StringVar(&s.deadly, "deadly", "", "")
 	flags.BoolVar(&s.deadlyEvent, "deadly-event", false, "")
 	_ = flags.Parse(args)
@@ -217,7 +218,7 @@
 		_, _ = w.Write(piece(number))
 		_ = http.NewResponseController(w).Flush()
 		select {
-		case <-time.After(piecePace):
+		case <-time.After(s.pace):
 		case <-r.Context().Done():
 			s.say("dropped", id)
 			return
@@ -257,7 +258,7 @@
 			s.say("dropped", id)
 			return
 		}
-		time.Sleep(piecePace)
+		time.Sleep(s.pace)
 	}
 	s.say("ends", id)
 }
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -43,6 +43,7 @@
 	root     string // root is the repository.
 	start    time.Time
 	trouble  bool // trouble is false when the disruption is to be left out.
+	grace    int  // grace is grace_s of the settings files.
 	store    *store
 	storeAt  string
 	net      int // net is the second and third byte of the loopback addresses.
@@ -97,7 +98,7 @@
 	}
 	w := &world{
 		folder: folder, temp: temp, root: root, out: out, start: time.Now(), trouble: os.Getenv("TROUBLE") != "0",
-		store: newStore(), storeAt: listener.Addr().String(), net: 1 + rand.IntN(60000), servers: map[string]*serverProcess{},
+		grace: 8, store: newStore(), storeAt: listener.Addr().String(), net: 1 + rand.IntN(60000), servers: map[string]*serverProcess{},
 	}
 	go func() { _ = http.Serve(listener, w.store) }()
 	return w, nil
@@ -240,6 +241,15 @@
 	return nil
 }
 
+// changeSettings writes the settings file of an instance anew and sends SIGHUP.
+func (w *world) changeSettings(m *machine) error {
+	if err := os.WriteFile(filepath.Join(w.temp, m.name+".toml"), []byte(w.settings(m)), 0o600); err != nil {
+		return err
+	}
+	w.record("the settings of %s have changed; SIGHUP", m.name)
+	return m.process.Process.Signal(syscall.SIGHUP)
+}
+
 // awaitReady waits until the platform would find an instance ready.
 func (w *world) awaitReady(m *machine) error {
 	client := http.Client{Timeout: time.Second}
@@ -300,7 +310,7 @@
 ack_timeout_ms = 4000
 catch_up_s = 4
 drain_ms = 2000
-grace_s = 8
+grace_s = %d
 loss_slack_ms = 200
 config_apply_ms = 2000
 rollback_slack_ms = 250
@@ -322,7 +332,7 @@
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
-`, m.name, m.ip, m.zone, regionName, w.address(1), w.address(2), w.address(3), m.ip, m.ip, m.ip, m.ip, m.door.address)
+`, m.name, m.ip, m.zone, regionName, w.address(1), w.address(2), w.address(3), m.ip, m.ip, m.ip, m.ip, w.grace, m.door.address)
 }
 
 // config returns a configuration in full.
