review: a removed server is never forgotten after a restart of peers (DRAIN)

Cause: a view that was built from a list holds no deletions, and a peer takes it as all changes since its own revision.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/platform ] && [ -x review/bin/world ] || exit 2
-exec review/bin/world grace review/4
+exec review/bin/world leaving review/4
--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -368,3 +368,80 @@
 	w.record("all streams have ended %.1f s after SIGTERM, before the last sixth of %d s; %d are whole, %d were cut", time.Since(stopped).Seconds(), after, whole, cut)
 	return cut == 0, nil
 }
+
+// playRemoved kills two of three machines, removes the entry of a server while they are down, and starts them again. It
+// reports whether the machine that was left sends the server nothing later than drain_ms after the store has accepted that
+// it is gone.
+func playRemoved(w *world) (bool, error) {
+	w.store.configure(config(7, 16384))
+	var servers []*serverProcess
+	for i := range 3 {
+		p, err := w.startServer(i, fmt.Sprintf("i-orders%d", i), "shop-orders", "--work", "100ms", "--lingers", "5s")
+		if err != nil {
+			return false, err
+		}
+		servers = append(servers, p)
+	}
+	if err := w.startMachines(3); err != nil {
+		return false, err
+	}
+	time.Sleep(5 * time.Second) // All machines are in touch by then.
+	killed, left := []*machine{w.machines[0], w.machines[2]}, w.machines[1]
+	if w.trouble {
+		for _, m := range killed {
+			w.record("SIGKILL to machine %s", m.name)
+			_ = m.process.Process.Kill()
+			time.AfterFunc(250*time.Millisecond, func() {
+				w.record("machine %s starts again", m.name)
+				if err := w.startMachine(m); err != nil {
+					w.record("it did not start: %v", err)
+				}
+			})
+		}
+	}
+	leaver := servers[0]
+	time.AfterFunc(100*time.Millisecond, func() { w.signal(leaver, syscall.SIGUSR1) })
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	sent := map[string]time.Time{}
+	lost := 0
+	for i := range 280 {
+		group.Go(func() {
+			q := request{id: fmt.Sprintf("order%08d", i), method: "POST", path: "/puxa403/2f", deadline: 1500 * time.Millisecond, body: "order"}
+			mu.Lock()
+			sent[q.id] = time.Now()
+			mu.Unlock()
+			a := w.send(left.ip+":8227", q)
+			if a.status != 200 && a.status != 503 && a.status != 429 {
+				mu.Lock()
+				defer mu.Unlock()
+				lost++
+				w.record("order %s has no answer that says what became of it", q.id)
+			}
+		})
+		time.Sleep(25 * time.Millisecond)
+	}
+	group.Wait()
+	time.Sleep(200 * time.Millisecond)
+	var removedAt time.Time
+	for _, e := range w.said() {
+		if e.server == leaver.id && e.what == "removed" {
+			removedAt = e.at
+		}
+	}
+	if removedAt.IsZero() {
+		return false, fmt.Errorf("the entry was not removed")
+	}
+	late := 0
+	for _, e := range w.said() {
+		if e.server != leaver.id || e.what != "arrives" {
+			continue
+		}
+		if after := sent[e.id].Sub(removedAt); after > drainTime {
+			late++
+			w.record("request %s was sent %d ms after the store had accepted that %s is gone, and reached it", e.id, after.Milliseconds(), e.server)
+		}
+	}
+	w.record("%d requests sent later than %d ms after the entry was removed reached the server; %d orders have an unknown outcome", late, drainTime.Milliseconds(), lost)
+	return late == 0, nil
+}
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -20,6 +20,7 @@
 	"unframed": playUnframed,
 	"leaving":  playLeaving,
 	"limits":   playLimits,
+	"removed":  playRemoved,
 	"grace":    playGrace,
 	"deadly":   playDeadly,
 }
--- a/review/world/server.go
+++ b/review/world/server.go
@@ -29,11 +29,9 @@
 	work                              time.Duration // work is the time that a unary request takes.
 	lingers                           time.Duration // lingers is how long the server serves after the store has accepted its report.
 	unframed                          bool          // unframed leaves out length and chunks; answers end with their connection.
-	hint                              time.Duration // hint is the Retry-After of refusals, while full.
 	pace                              time.Duration // pace is the time between two events of a stream.
 	deadly                            string        // deadly is a part of prompts that crashes the server as it begins to answer.
 	deadlyEvent                       bool          // deadlyEvent lets it crash within its first event, not within its head.
-	full                              atomic.Bool   // full makes the server refuse all requests.
 	leaving                           atomic.Bool
 	sequence                          atomic.Int64
 	born                              int64
@@ -50,7 +48,6 @@
 	flags.StringVar(&s.store, "store", "", "")
 	flags.DurationVar(&s.work, "work", 15*time.Millisecond, "")
 	flags.DurationVar(&s.lingers, "lingers", 3*time.Second, "")
-	flags.DurationVar(&s.hint, "hint", 0, "")
 	flags.BoolVar(&s.unframed, "unframed", false, "")
 	flags.DurationVar(&s.pace, "pace", 25*time.Millisecond, "")
 	flags.StringVar(&s.deadly, "deadly", "", "")
@@ -62,7 +59,7 @@
 		os.Exit(exitFailed)
 	}
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGUSR2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGUSR1)
 	go func() { _ = http.Serve(listener, s) }()
 	s.register("POST")
 	beat := time.NewTicker(heartbeat)
@@ -73,10 +70,14 @@
 			s.register("PUT")
 		case got := <-signals:
 			switch got {
-			case syscall.SIGUSR1:
-				s.full.Store(true)
-			case syscall.SIGUSR2:
-				s.full.Store(false)
+			case syscall.SIGUSR1: // It leaves without a report: its entry is removed, and it serves on for the same time.
+				s.leaving.Store(true)
+				beat.Stop()
+				for !s.call(http.MethodDelete, nil) {
+					time.Sleep(100 * time.Millisecond)
+				}
+				s.say("removed", "")
+				exit = time.After(s.lingers)
 			default:
 				s.leaving.Store(true)
 				for !s.register("PUT") {
@@ -111,8 +112,13 @@
 		spec["stage"], spec["models"] = "prefill_decode", models
 	}
 	body, _ := json.Marshal(map[string]any{"metadata": map[string]any{"name": s.id}, "spec": spec})
+	return s.call(method, body)
+}
+
+// call makes one call of the store for the server's entry, and reports whether the store has accepted it.
+func (s *server) call(method string, body []byte) bool {
 	url := "http://" + s.store + "/bramleywharf/objects/servers"
-	if method == "PUT" {
+	if method != http.MethodPost {
 		url += "/" + s.id
 	}
 	request, _ := http.NewRequest(method, url, bytes.NewReader(body))
@@ -159,15 +165,6 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if s.full.Load() {
-		header.Set("X-Not-Executed", "1")
-		if s.hint > 0 {
-			header.Set("Retry-After", fmt.Sprint(int(s.hint.Seconds())))
-		}
-		w.WriteHeader(http.StatusServiceUnavailable)
-		s.say("refuses", id)
-		return
-	}
 	s.say("runs", id)
 	header.Set("X-Response-Signature", "sig."+s.id+"."+id)
 	if s.service == "design-llm" {
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -219,15 +219,7 @@
 		if err := os.WriteFile(path, []byte(w.settings(m)), 0o600); err != nil {
 			return err
 		}
-		logFile, err := os.Create(filepath.Join(w.temp, m.name+".log"))
-		if err != nil {
-			return err
-		}
-		m.process = exec.Command(filepath.Join(w.root, "target", "platform"), "serve")
-		m.process.Dir = w.root
-		m.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "BRAMLEYWHARF_BOOT=" + path, "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING=true"}
-		m.process.Stdout, m.process.Stderr = logFile, logFile
-		if err := w.run(m.process); err != nil {
+		if err := w.startMachine(m); err != nil {
 			return err
 		}
 		w.machines = append(w.machines, m)
@@ -241,6 +233,22 @@
 	return nil
 }
 
+// startMachine starts the process of an instance.
+func (w *world) startMachine(m *machine) error {
+	logFile, err := os.OpenFile(filepath.Join(w.temp, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	m.process = exec.Command(filepath.Join(w.root, "target", "platform"), "serve")
+	m.process.Dir = w.root
+	m.process.Env = []string{
+		"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"),
+		"BRAMLEYWHARF_BOOT=" + filepath.Join(w.temp, m.name+".toml"), "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING=true",
+	}
+	m.process.Stdout, m.process.Stderr = logFile, logFile
+	return w.run(m.process)
+}
+
 // changeSettings writes the settings file of an instance anew and sends SIGHUP.
 func (w *world) changeSettings(m *machine) error {
 	if err := os.WriteFile(filepath.Join(w.temp, m.name+".toml"), []byte(w.settings(m)), 0o600); err != nil {
