--- a/review/world/main.go
+++ b/review/world/main.go
@@ -19,6 +19,8 @@
 var cases = map[string]func(*world) (bool, error){
 	"unframed": playUnframed,
 	"leaving":  playLeaving,
+	"hint":     playHint,
+	"endless":  playEndless,
 	"limits":   playLimits,
 	"removed":  playRemoved,
 	"grace":    playGrace,
