review: the stand-ins in two packages

Change: the deployment is package scene; cases, trials and the server stay in the program. Names only, no behaviour.

--- a/review/world/main.go
+++ b/review/world/main.go
@@ -1,11 +1,10 @@
-// Command world plays the cases of the review: it starts instances with the
-// command of the deploy file, and is itself the platform's store, the servers
-// and the clients. Servers run as processes of their own.
 package main
 
 import (
 	"fmt"
 	"os"
+
+	"bramleywharf.example/review/world/scene"
 )
 
 // Exit codes of a case.
@@ -16,7 +15,7 @@
 )
 
 // cases maps the names of cases to the functions that play them.
-var cases = map[string]func(*world) (bool, error){
+var cases = map[string]func(*scene.World) (bool, error){
 	"unframed": playUnframed,
 	"leaving":  playLeaving,
 	"hint":     playHint,
@@ -45,23 +44,23 @@
 }
 
 // playCase plays a case, writes its record into a folder and returns the exit code.
-func playCase(play func(*world) (bool, error), folder string) int {
-	w, err := newWorld(folder)
+func playCase(play func(*scene.World) (bool, error), folder string) int {
+	w, err := scene.New(folder)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	defer w.close()
+	defer w.Close()
 	held, err := play(w)
 	switch {
 	case err != nil:
-		w.record("the case could not be played: %v", err)
+		w.Record("the case could not be played: %v", err)
 		return exitFailed
 	case !held:
-		w.record("RULE BROKEN")
+		w.Record("RULE BROKEN")
 		return exitBroken
 	default:
-		w.record("rule held")
+		w.Record("rule held")
 		return exitHeld
 	}
 }
--- a/review/world/store.go
+++ b/review/world/scene/store.go
@@ -1,8 +1,7 @@
-package main
+package scene
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -11,8 +10,11 @@
 	"time"
 )
 
+// Heartbeat is the time between two heartbeats of a server.
+const Heartbeat = 1200 * time.Millisecond
+
 // lapseTime is how long an entry of a server stays without a heartbeat: three intervals.
-const lapseTime = 3 * heartbeat
+const lapseTime = 3 * Heartbeat
 
 // object is one stored object.
 type object struct {
@@ -137,7 +139,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		reply(w, http.StatusOK, o)
+		Reply(w, http.StatusOK, o)
 	default:
 		s.write(w, r, kind, name)
 	}
@@ -159,7 +161,7 @@
 	}
 	at := s.revision
 	s.mu.Unlock()
-	reply(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "at": at})
+	Reply(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "at": at})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -177,13 +179,13 @@
 		at, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
-			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			Reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			Reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
 		case <-r.Context().Done():
 			return
@@ -205,105 +207,21 @@
 	stored, ok := s.objects[kind][name]
 	switch {
 	case r.Method == http.MethodPost && ok, ok && o.Metadata.Revision > 0 && stored.Metadata.Revision != o.Metadata.Revision:
-		reply(w, http.StatusConflict, stored)
+		Reply(w, http.StatusConflict, stored)
 	case r.Method != http.MethodPost && !ok:
 		w.WriteHeader(http.StatusNotFound)
 	case r.Method == http.MethodDelete:
 		delete(s.heard, name)
 		s.remove(kind, name)
-		reply(w, http.StatusOK, stored)
+		Reply(w, http.StatusOK, stored)
 	default:
-		reply(w, http.StatusOK, s.put(kind, name, o.Spec))
+		Reply(w, http.StatusOK, s.put(kind, name, o.Spec))
 	}
 }
 
-func reply(w http.ResponseWriter, status int, body any) {
+// Reply writes a JSON body.
+func Reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body) // The other end may have left.
 }
-
-// door is the way of one instance to the store. While it is shut, connections stay open and no byte passes, as in a
-// partition.
-type door struct {
-	address  string
-	upstream string
-	mu       sync.Mutex
-	isShut   bool
-	opened   chan struct{} // opened closes when the door opens again.
-}
-
-// newDoor returns an open door to a store.
-func newDoor(upstream string) (*door, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	d := &door{address: listener.Addr().String(), upstream: upstream, opened: make(chan struct{})}
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go d.carry(c)
-		}
-	}()
-	return d, nil
-}
-
-// shut stops all bytes until open is called.
-func (d *door) shut() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.isShut, d.opened = true, make(chan struct{})
-}
-
-// open lets the bytes pass again.
-func (d *door) open() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.isShut {
-		d.isShut = false
-		close(d.opened)
-	}
-}
-
-// await returns once the door is open.
-func (d *door) await() {
-	d.mu.Lock()
-	isShut, opened := d.isShut, d.opened
-	d.mu.Unlock()
-	if isShut {
-		<-opened
-	}
-}
-
-// carry passes the bytes of one connection in both directions.
-func (d *door) carry(near net.Conn) {
-	d.await()
-	far, err := net.Dial("tcp", d.upstream)
-	if err != nil {
-		_ = near.Close()
-		return
-	}
-	pass := func(to, from net.Conn) {
-		buffer := make([]byte, 32<<10)
-		for {
-			n, err := from.Read(buffer)
-			d.await()
-			if n > 0 {
-				if _, err := to.Write(buffer[:n]); err != nil {
-					break
-				}
-			}
-			if err != nil {
-				break
-			}
-		}
-		_ = to.Close()
-		_ = from.Close()
-	}
-	go pass(far, near)
-	pass(near, far)
-}
--- a/review/world/server.go
+++ b/review/world/server.go
@@ -15,10 +15,11 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"bramleywharf.example/review/world/scene"
 )
 
 const (
-	heartbeat   = 1200 * time.Millisecond
 	pieceCount  = 140 // pieceCount is the number of events of each stream.
 	promptDelay = 300 * time.Millisecond
 )
@@ -68,7 +69,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGUSR2)
 	go func() { _ = http.Serve(listener, s) }()
 	s.register("POST")
-	beat := time.NewTicker(heartbeat)
+	beat := time.NewTicker(scene.Heartbeat)
 	var exit <-chan time.Time
 	for {
 		select {
@@ -158,7 +159,7 @@
 		}
 		return
 	case r.URL.Path == "/bramleywharf/report" && s.service == "design-llm":
-		reply(w, http.StatusOK, map[string]any{"stage": "prefill_decode", "models": models, "busy": false, "sequence": 0, "waiting": 0, "running": 0, "kv_used": 0, "kv_total": 88000, "handles": 0, "runs": []any{}})
+		scene.Reply(w, http.StatusOK, map[string]any{"stage": "prefill_decode", "models": models, "busy": false, "sequence": 0, "waiting": 0, "running": 0, "kv_used": 0, "kv_total": 88000, "handles": 0, "runs": []any{}})
 		return
 	case id == "":
 		header.Set("X-Not-Executed", "1")
