--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -32,7 +32,7 @@
 	}
 	if w.Trouble {
 		time.AfterFunc(6*time.Second, func() { w.Signal(engines[0], syscall.SIGKILL) })
-		time.AfterFunc(10500*time.Millisecond, func() {
+		time.AfterFunc(7200*time.Millisecond, func() {
 			if _, err := w.StartServer(0, "i-engine0-again", "design-llm", "--unframed"); err != nil {
 				w.Record("engine did not start again: %v", err)
 			}
--- a/review/world/deadly.go
+++ b/review/world/deadly.go
@@ -16,8 +16,8 @@
 func playDeadly(w *scene.World) (bool, error) {
 	const (
 		deadlyPart   = "5c1e07a2"
-		requestCount = 176                    // for 22 s
-		interval     = 125 * time.Millisecond // between two requests
+		requestCount = 180                    // for 22 s at most
+		interval     = 122 * time.Millisecond // between two requests
 		every        = 20                     // every 20th request has the part: a share of 0.05
 		downTime     = 3 * time.Second        // for which a crashed server is down
 		stableWindow = 3 * time.Second
