mirror, feed: a view that lacks deletions passes on the names of all objects

Cause: a view that was built from a list of the store has no record of what was deleted before the list. A peer's pull "since revision r" got the changes that the view knows, took over its revision, and never asked for the deletions in between again. After a restart of the instances that watch the store, all others pull from views of that kind. The pull also confirms the copy, so that no instance asks the store itself. Change: a view knows the revision after which it holds every deletion. It answers a pull from before that with a complete page: changed objects, and the names of the others. Names cost 10 to 20 bytes an object, the objects themselves over 200. Ruled out: an unanswered pull, with which the copy grows old until the instance lists itself: the whole fleet would list at the store at once.

--- a/core/mirror/doc.go
+++ b/core/mirror/doc.go
@@ -3,5 +3,7 @@
 //
 // Pages come from the store and from peers, in any order. A view keeps the
 // newest revision of each object. It remembers deleted objects too, so that an
-// old page never restores an object that was deleted later.
+// old page never restores an object that was deleted later. A view that was
+// built from a list lacks the deletions before it, and passes on the names of
+// all objects to a peer that may lack them too.
 package mirror
--- a/core/mirror/view.go
+++ b/core/mirror/view.go
@@ -21,22 +21,31 @@
 // Page is a list of all objects of a kind, or of those changed after some revision.
 type Page struct {
 	Revision uint64 // Revision is the store's revision up to which the page holds the changes.
-	Complete bool   // Complete is set if the page lists every object, so that all others are deleted.
+	Complete bool   // Complete is set if the page names every object, so that all others are deleted.
 	Objects  []Object
+	// Unchanged holds the names of the objects that exist and are not in Objects, if the page is complete.
+	Unchanged []string
 }
 
 // View is a copy of all objects of one kind. It is immutable.
 type View struct {
 	revision uint64
-	objects  []Object // objects is sorted by name and includes deleted objects.
+	// deletionsSince is the revision after which the view holds every deletion. A list does not tell which objects were
+	// deleted before it.
+	deletionsSince uint64
+	objects        []Object // objects is sorted by name and includes deleted objects.
 }
 
-// ChangesSince returns a page of all objects that changed after a revision, including deleted ones.
+// ChangesSince returns a page of all objects that changed after a revision, including deleted ones. If the view lacks
+// deletions after that revision, the page is complete: it also names the objects that did not change.
 func (v View) ChangesSince(after uint64) Page {
-	p := Page{Revision: v.revision}
+	p := Page{Revision: v.revision, Complete: after < v.deletionsSince}
 	for i := range v.objects {
-		if v.objects[i].Revision > after {
-			p.Objects = append(p.Objects, v.objects[i])
+		switch o := &v.objects[i]; {
+		case o.Revision > after:
+			p.Objects = append(p.Objects, *o)
+		case p.Complete && !o.Deleted:
+			p.Unchanged = append(p.Unchanged, o.Name)
 		}
 	}
 	slices.SortFunc(p.Objects, func(a, b Object) int { return cmp.Compare(a.Revision, b.Revision) })
@@ -79,7 +88,10 @@
 
 // WithPage returns a view that holds the newer version of each object, and whether an object changed.
 func (v View) WithPage(p Page) (View, bool) {
-	next := View{revision: max(v.revision, p.Revision), objects: v.objects}
+	next := View{revision: max(v.revision, p.Revision), deletionsSince: v.deletionsSince, objects: v.objects}
+	if p.Complete && p.Revision > v.revision {
+		next.deletionsSince = p.Revision
+	}
 	updates, changed := v.updates(p)
 	if len(updates) > 0 {
 		next.objects = merged(v.objects, updates)
@@ -118,10 +130,13 @@
 
 // unlisted returns deletions of the objects that a complete page lacks, except for those changed after its revision.
 func (v View) unlisted(p Page) []Object {
-	listed := make(map[string]bool, len(p.Objects))
+	listed := make(map[string]bool, len(p.Objects)+len(p.Unchanged))
 	for _, o := range p.Objects {
 		listed[o.Name] = true
 	}
+	for _, name := range p.Unchanged {
+		listed[name] = true
+	}
 	var deletions []Object
 	for _, o := range v.objects {
 		if !listed[o.Name] && !o.Deleted && o.Revision <= p.Revision {
@@ -148,6 +163,7 @@
 	}
 	slices.Sort(revisions)
 	oldestKept := revisions[excess]
+	v.deletionsSince = max(v.deletionsSince, oldestKept-1)
 	v.objects = slices.DeleteFunc(v.objects, func(o Object) bool { return o.Deleted && o.Revision < oldestKept })
 }
 
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -242,6 +242,9 @@
 	Objects  []Object `cbor:"3,keyasint,omitempty"`
 	// Age is the time since the sender's copy was last confirmed to be current, by the store or through any instance.
 	Age time.Duration `cbor:"4,keyasint"`
+	// Complete tells that all objects that exist are in Objects or Unchanged, since the sender lacks deletions.
+	Complete  bool     `cbor:"5,keyasint,omitempty"`
+	Unchanged []string `cbor:"6,keyasint,omitempty"` // Unchanged holds names.
 }
 
 // Failure is the response to a message that could not be handled.
--- a/entry/feed/allowance.go
+++ b/entry/feed/allowance.go
@@ -35,11 +35,14 @@
 	return allowance{bytes: left - float64(size), at: now}, true
 }
 
-// pageBytes returns the size of the objects of a page.
+// pageBytes returns the size of the objects and names of a page.
 func pageBytes(p mirror.Page) int {
 	size := 0
 	for _, o := range p.Objects {
 		size += len(o.Raw)
 	}
+	for _, name := range p.Unchanged {
+		size += len(name)
+	}
 	return size
 }
--- a/entry/feed/swap.go
+++ b/entry/feed/swap.go
@@ -370,7 +370,7 @@
 
 // pageFromWire decodes a page from a message.
 func pageFromWire(p wire.KindUpdates) mirror.Page {
-	page := mirror.Page{Revision: p.Revision}
+	page := mirror.Page{Revision: p.Revision, Complete: p.Complete, Unchanged: p.Unchanged}
 	for _, o := range p.Objects {
 		page.Objects = append(page.Objects, mirror.Object{
 			Name:     o.Name,
@@ -384,7 +384,7 @@
 
 // pageToWire encodes a page of a kind into a message.
 func pageToWire(kind string, p mirror.Page) wire.KindUpdates {
-	updates := wire.KindUpdates{Kind: kind, Revision: p.Revision}
+	updates := wire.KindUpdates{Kind: kind, Revision: p.Revision, Complete: p.Complete, Unchanged: p.Unchanged}
 	for _, o := range p.Objects {
 		updates.Objects = append(updates.Objects, wire.Object{
 			Kind:     kind,
