mirror: a page that is older than the view does not restore deleted objects

Cause: an instance that starts pulls from its peers and lists at the store at the same time, and the list may be seconds old. A list that comes second restored each object that was deleted in between, if the view had learned of the deletion from a list or not at all. Change: a view at revision r holds all that exists at r, so that a page of an older revision brings nothing that is unknown or deleted there and not newer than r. A page of the same revision or a newer one still adds what is unknown.

--- a/core/mirror/view.go
+++ b/core/mirror/view.go
@@ -113,8 +113,11 @@
 	changed := false
 	for _, o := range p.Objects {
 		i, known := find(v.objects, o.Name)
-		if known && !supersedes(o, v.objects[i]) {
+		switch {
+		case known && !supersedes(o, v.objects[i]):
 			continue
+		case !o.Deleted && p.Revision < v.revision && o.Revision <= v.revision && (!known || v.objects[i].Deleted):
+			continue // The object was deleted after the page was made, or the view would hold it.
 		}
 		updates = append(updates, o)
 		changed = changed || known || !o.Deleted
