link, offer: a target that ends within the head has begun to answer

Cause: the loss of a target counts against the parts of a prompt only if it had begun to answer, and that was taken from the response whose head had been read whole. A connection that ends within the head looked like one that ends before the first byte. Change: link returns ErrBroken for a connection that ends after a part of the head; a malformed head on an open connection stays another error. Streams and whole answers both take ErrBroken for an answer that had begun. Ruled out: counting connections that end before the first byte as well. They also end for every request that waits at a target, whatever has crashed it. TestHeadCutShort cuts heads at each byte: none is taken for an answer.

--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -161,6 +161,7 @@
 		s.begins.Answered()
 		return completed{}
 	case offer.Broken:
+		a.hasBegun = a.hasBegun || r.Begun
 		end := interruptedBy(r.Err)
 		end.atBegin = end.endedBy == chain.EndedByTarget && a.isAtBegin() && !s.wentOn
 		return end
--- a/entry/link/conn.go
+++ b/entry/link/conn.go
@@ -25,19 +25,23 @@
 // boundedReader reads from a connection up to a bound.
 type boundedReader struct {
 	io.Reader
-	left int64 // bytes that may still be read; negative sets no bound
+	left  int64 // bytes that may still be read; negative sets no bound
+	ended bool  // whether the connection has ended
 }
 
 // Read returns ErrOversized once the bound is reached.
 func (b *boundedReader) Read(p []byte) (int, error) {
-	if b.left < 0 {
-		return b.Reader.Read(p)
-	}
 	if b.left == 0 {
 		return 0, ErrOversized
 	}
-	n, err := b.Reader.Read(p[:min(int64(len(p)), b.left)])
-	b.left -= int64(n)
+	if b.left > 0 {
+		p = p[:min(int64(len(p)), b.left)]
+	}
+	n, err := b.Reader.Read(p)
+	if b.left > 0 {
+		b.left -= int64(n)
+	}
+	b.ended = b.ended || err != nil
 	return n, err
 }
 
@@ -46,13 +50,20 @@
 	return &conn{Conn: raw, input: input, reader: bufio.NewReaderSize(input, readBufferSize)}
 }
 
-// readHead reads the head of the next final response within maxHeadSize, and skips interim ones.
+// readHead reads the head of the next final response within maxHeadSize, and skips interim ones. It returns ErrBroken if
+// the connection ended after a part of the head.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
 	defer func() { c.input.left = -1 }()
 	for range maxHeads {
 		c.input.left = maxHeadSize
+		if _, err := c.reader.Peek(1); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, request)
-		if err != nil {
+		switch {
+		case err != nil && c.input.ended:
+			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+		case err != nil:
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -37,7 +37,8 @@
 
 // Errors of a request that may have run.
 var (
-	// ErrBroken means that the body of a response could not be read whole.
+	// ErrBroken means that a response had begun and could not be read whole: its connection ended within the head, or its
+	// body is incomplete, malformed or too large.
 	ErrBroken = errors.New("response is incomplete, malformed or too large")
 	// ErrStray means that the connection returned only responses to other requests.
 	ErrStray = errors.New("response belongs to another request")
--- a/entry/offer/step.go
+++ b/entry/offer/step.go
@@ -38,7 +38,8 @@
 
 // Broken means that there was no valid response, or that it broke off; the target may have run the request.
 type Broken struct {
-	Err error
+	Err   error
+	Begun bool // Begun tells that the target had begun to answer, if nothing else was received before.
 }
 
 // Event is the next whole event; it is valid until the next step is asked for.
