send, picker: a target that says it is leaving gets no more requests

Cause: a leaving target says so in all its responses, and no code read the header. A machine learned of it from the store alone. Change: the dialect decodes the header, and every response to a send, a request for a report or an order of a replica is asked for it, refusals too. The picker keeps what targets have said in an immutable set beside the names of ended targets, and marks their declarations as leaving. A 421 speaks for the target that holds the address, so that it is not adopted as a successor either. Ruled out: Connection: close as a sign of leaving, which other responses carry as well; telling peers, since each machine is bound by what it has passed on.

--- a/entry/flight/world_test.go
+++ b/entry/flight/world_test.go
@@ -286,6 +286,9 @@
 // IsEngine reports that targets are engines.
 func (plainDialect) IsEngine(int, []byte) bool { return true }
 
+// IsLeaving tells that no target leaves.
+func (plainDialect) IsLeaving(map[string][]string) bool { return false }
+
 // Drop returns an empty request.
 func (plainDialect) Drop(s send.Source) link.Request { return link.Request{Address: s.Address} }
 
--- a/entry/guard/replica.go
+++ b/entry/guard/replica.go
@@ -164,7 +164,7 @@
 	orderedAt := time.Now()
 	m.subject.Sender.Counts.Orders.Inc()
 	fields := log.Fields{"request": m.subject.Call.ID, "target": runner.Name, "holder": holder.Name}
-	reply, body, err := m.subject.Sender.Link.Exchange(ctx, m.subject.Sender.Dialect.Copy(m.subject.Call, runner, holder))
+	reply, body, err := m.subject.Sender.Exchange(ctx, runner, m.subject.Sender.Dialect.Copy(m.subject.Call, runner, holder))
 	if err != nil {
 		m.subject.Sender.Log.WithFields(fields).WithError(err).Info("replica could not be ordered")
 		return
--- a/entry/offer/offer.go
+++ b/entry/offer/offer.go
@@ -81,7 +81,7 @@
 // open sends the request and waits for the head of the response.
 func open(ctx context.Context, s *send.Sender, pick *picker.Pick, message send.Send, forward chain.Forward, fresh bool) Step {
 	s.Counts.Sends.Inc()
-	reply, err := s.Link.Send(ctx, s.Outgoing(message, forward, fresh))
+	reply, err := s.Send(ctx, pick.Target, s.Outgoing(message, forward, fresh))
 	if link.IsNotSent(err) {
 		s.Counts.Unsent.Inc()
 		return NotRun{Cause: err.Error()}
--- a/entry/pass/attempt.go
+++ b/entry/pass/attempt.go
@@ -73,7 +73,7 @@
 // exchange sends the message and returns the outcome.
 func (a *attempt) exchange(ctx context.Context, s *send.Sender, call chain.Call, message link.Request) outcome {
 	startedAt := time.Now()
-	reply, body, err := s.Link.Exchange(ctx, message)
+	reply, body, err := s.Exchange(ctx, a.pick.Target, message)
 	if link.IsNotSent(err) {
 		s.Counts.Unsent.Inc()
 		if !errors.Is(ctx.Err(), context.Canceled) {
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -110,7 +110,7 @@
 	domainLostAt   sync.Map                            // domainLostAt maps failure domains to the time.Time of a loss.
 	localUsage     atomic.Pointer[func() []wire.Usage] // localUsage returns the counts of this instance's requests.
 	successors     *cell.Cell[site.Successors]         // successors holds targets found before they were listed.
-	ended          sync.Map                            // ended maps the names of ended targets to a time.Time.
+	departures     *cell.Cell[site.Departures]         // departures holds targets that have ended or are leaving.
 	sumsStale      atomic.Bool                         // sumsStale tells that sumReports must run before the next use.
 	reportInterval atomic.Int64                        // reportInterval is the time between two load reports of an instance, in nanoseconds.
 	reconcileMu    sync.Mutex
@@ -133,6 +133,7 @@
 		log:         logger,
 		targetTable: cell.New(targetTable{targetSet: &site.TargetSet{}}),
 		successors:  cell.New(site.Successors{}),
+		departures:  cell.New(site.Departures{}),
 		startedAt:   time.Now(),
 		received:    make(map[string]receivedReport),
 		placements:  make(map[string]placement),
@@ -178,6 +179,7 @@
 		targets, s = s.Apply(targets, time.Now(), settled)
 		return s, false
 	})
+	targets = p.departures.Load().Apply(targets)
 	var old, next *site.TargetSet
 	p.targetTable.Update(func(t targetTable) targetTable {
 		old, next = t.targetSet, t.targetSet.WithTargets(targets, time.Now(), grace)
@@ -187,7 +189,7 @@
 	changes := next.ChangesSince(old)
 	for _, ended := range changes.Ended {
 		p.onRemoved(ended.Address)
-		p.markEnded(ended.Name, time.Now())
+		p.departures.Update(func(d site.Departures) site.Departures { return d.WithEnded(ended.Name, time.Now()) })
 		p.logTarget(ended).Info("target was removed, restarted or moved")
 	}
 	if old.Len() > 0 {
--- a/entry/picker/successor.go
+++ b/entry/picker/successor.go
@@ -15,25 +15,20 @@
 	p.Reconcile()
 }
 
-// endedTTL is how long the name of an ended target is remembered. It is longer than an older entry with the same
-// address can stay listed, which is three heartbeats, even with an outage of some seconds.
-const endedTTL = time.Minute
-
-// markEnded records that a target is no longer listed, and forgets the targets whose record has expired.
-func (p *Picker) markEnded(name string, now time.Time) {
-	p.ended.Store(name, now)
-	p.ended.Range(func(name, endedAt any) bool {
-		if now.Sub(endedAt.(time.Time)) > endedTTL {
-			p.ended.Delete(name)
-		}
-		return true
-	})
+// MarkLeaving records that a target has said that it is leaving; it gets no more requests.
+func (p *Picker) MarkLeaving(target site.Target) {
+	now := time.Now()
+	if p.departures.Load().IsLeaving(target, now) {
+		return
+	}
+	p.departures.Update(func(d site.Departures) site.Departures { return d.WithLeaving(target, now) })
+	p.Reconcile()
 }
 
 // addSuccessor adds a successor and returns whether it was not known before. One that was listed and has ended is not
 // added: it still answers for a while but must get no work.
 func (p *Picker) addSuccessor(successor site.Successor, cause string) bool {
-	if _, ended := p.ended.Load(successor.Name); ended {
+	if p.departures.Load().HasEnded(successor.Name) {
 		return false
 	}
 	isNew := false
--- a/entry/send/backlog.go
+++ b/entry/send/backlog.go
@@ -43,7 +43,7 @@
 
 // AskProgress asks a target for its report, and returns what it says of the request with an id.
 func (s *Sender) AskProgress(ctx context.Context, target site.Target, id string) (Progress, error) {
-	_, body, err := s.Link.Exchange(ctx, s.Dialect.Ask(target))
+	_, body, err := s.Exchange(ctx, target, s.Dialect.Ask(target))
 	if err != nil {
 		return Progress{}, fmt.Errorf("ask for a report: %w", err)
 	}
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -1,6 +1,7 @@
 package send
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -91,6 +92,8 @@
 	Drop(s Source) link.Request
 	// Judge returns what a response proves about the request.
 	Judge(status int, header map[string][]string) Verdict
+	// IsLeaving reports whether the target that sent a response says in it that it is leaving.
+	IsLeaving(header map[string][]string) bool
 	// Response returns the response headers that are passed on to the caller.
 	Response(header map[string][]string) chain.Header
 }
@@ -267,6 +270,33 @@
 	return forward.Received.Add(call.Route.Timeout), call.Route.Timeout > 0
 }
 
+// Send sends a request to a target and returns its response once the head has been read, as Link does. If the response
+// says that the target is leaving, the target gets no more requests.
+func (s *Sender) Send(ctx context.Context, target site.Target, r link.Request) (*link.Reply, error) {
+	reply, err := s.Link.Send(ctx, r)
+	if err != nil || !s.Dialect.IsLeaving(reply.Header()) {
+		return reply, err
+	}
+	if v, ok := s.Dialect.Judge(reply.Status(), reply.Header()).(NotRun); ok && v.Misdirected {
+		target.Name, target.StartID = v.Holder, 0 // The target that holds the address has answered.
+	}
+	s.Picker.MarkLeaving(target)
+	return reply, nil
+}
+
+// Exchange sends a request as Send does, and returns its response and the whole body.
+func (s *Sender) Exchange(ctx context.Context, target site.Target, r link.Request) (*link.Reply, []byte, error) {
+	reply, err := s.Send(ctx, target, r)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := reply.Whole()
+	if err != nil {
+		return nil, nil, err
+	}
+	return reply, body, nil
+}
+
 // Outgoing returns the encoded request to a target; fresh asks for a connection that was not used before.
 func (s *Sender) Outgoing(message Send, forward chain.Forward, fresh bool) link.Request {
 	return link.Request{
--- a/entry/send/successor.go
+++ b/entry/send/successor.go
@@ -23,7 +23,9 @@
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	logger := s.Log.WithFields(log.Fields{"request": call.ID, "target": successor, "address": pick.Target.Address})
-	reply, body, err := s.Link.Exchange(ctx, s.Dialect.Ask(pick.Target))
+	holder := pick.Target
+	holder.Name, holder.StartID = successor, 0
+	reply, body, err := s.Exchange(ctx, holder, s.Dialect.Ask(holder))
 	if err != nil {
 		logger.WithError(err).Info("target that took over an address did not report what it runs; it is not used until it is listed")
 		return
