inst: calls that are open at the end of the grace period get an answer

Cause: at the end of the grace period the connections of callers were closed with calls in progress; their handlers took that for callers that had left. Besides, an instance accepted new requests for 2.5 s after the signal whatever its grace period is: with one of 3 s, up to its end. Change: the contexts of open calls end with a cause of their own, and their handlers have 0.2 s of the margin before SIGKILL to answer: 503 if the call has not run, otherwise 502. A stream whose head was sent is still cut, since a complete end would be false. New requests are accepted for a third of the grace period at most; nothing changes for one of 7.5 s and more. Ruled out: refusing new requests from the signal on. Callers use the addresses that they have for up to 5 s. Not changed: the own front, whose drain timeout is an hour by default.

--- a/entry/flight/ending.go
+++ b/entry/flight/ending.go
@@ -9,6 +9,7 @@
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/send"
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 )
 
 // settle records how an attempt ended. It returns the answer to the caller and true, or nil and false if the stream may
@@ -127,6 +128,8 @@
 	switch {
 	case ctx.Err() == nil:
 		return s.finalAnswer(reason)
+	case errors.Is(context.Cause(ctx), chain.ErrStopping):
+		return s.finalAnswer(chain.ErrStopping.Error())
 	case hasTimeLeft(ctx):
 		return chain.Left{}
 	case s.headSent.Load() || s.failedResponse != nil || !s.mayHaveRun:
--- a/entry/inst/leave.go
+++ b/entry/inst/leave.go
@@ -6,16 +6,20 @@
 	"time"
 
 	"bramleywharf.example/core/wait"
+	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/internal/conns"
 )
 
 const (
 	// lameDuckTime is how long a leaving instance still accepts connections, so that callers find others first.
 	lameDuckTime = 2500 * time.Millisecond
+	// lameDuckShare bounds that time to a part of the grace period, since the last request has to be answered in the rest.
+	lameDuckShare = 1.0 / 3
 	// graceMargin is the part of the grace period before SIGKILL that is left for the shutdown after the last call.
 	graceMargin = 700 * time.Millisecond
 
-	withdrawTimeout = 300 * time.Millisecond // withdrawTimeout bounds the removal of the entry, within graceMargin.
+	withdrawTimeout   = 300 * time.Millisecond // withdrawTimeout bounds the removal of the entry, within graceMargin.
+	lastAnswerTimeout = 200 * time.Millisecond // lastAnswerTimeout bounds the answers to open calls, within graceMargin.
 )
 
 // Leave shuts the instance down gracefully: requests that end within the grace period are completed. A start that has not
@@ -60,7 +64,8 @@
 }
 
 // drain lets callers move to other instances, waits for open calls until the deadline, and stops the instance. Idle
-// connections are closed at the start, so that their callers' next streams begin where they can end.
+// connections are closed at the start, so that their callers' next streams begin where they can end. Calls that are open
+// at the deadline are answered: refused if they have not run, otherwise with an unknown outcome.
 func (i *Instance) drain(deadline time.Time) {
 	defer close(i.done)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -73,11 +78,12 @@
 	}
 	if members := i.fleet.Load(); members != nil {
 		members.Leave()
-		wait.Sleep(ctx, lameDuckTime)
+		wait.Sleep(ctx, min(lameDuckTime, time.Duration(lameDuckShare*float64(i.settings.Grace))))
 	}
 	if callerServer != nil {
 		if err := callerServer.Drain(ctx); err != nil {
-			i.log.WithError(err).Warn("grace period is over; closing connections with open calls")
+			i.log.WithError(err).Warn("grace period is over; ending open calls")
+			i.endCalls(callerServer)
 		}
 	}
 	// The deadline may have passed while calls were open.
@@ -90,6 +96,16 @@
 	i.log.Info("instance has stopped")
 }
 
+// endCalls has open calls answered, and waits for their connections to close.
+func (i *Instance) endCalls(callerServer *conns.Server) {
+	callerServer.EndCalls(chain.ErrStopping)
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswerTimeout)
+	defer cancel()
+	if err := callerServer.Drain(ctx); err != nil {
+		i.log.WithError(err).Warn("closing connections with open calls")
+	}
+}
+
 // stop closes all components in reverse order of their start.
 func (i *Instance) stop() {
 	i.cancel()
--- a/entry/internal/conns/server.go
+++ b/entry/internal/conns/server.go
@@ -38,7 +38,8 @@
 	open      sync.Map    // open holds the open connections as *conn.
 	openCount atomic.Int64
 	listener  atomic.Pointer[listener]
-	stopped   atomic.Bool // stopped tells that no more connections are accepted.
+	stopped   atomic.Bool             // stopped tells that no more connections are accepted.
+	endCalls  context.CancelCauseFunc // endCalls ends the contexts of all requests.
 	overLimit *metrics.Counter
 	onLeaving *metrics.Counter
 	crossed   *metrics.Counter
@@ -57,6 +58,9 @@
 		cut:       set.GetOrCreateCounter("bramleywharf_requests_cut_total"),
 	}
 	httpServer.Handler = server.guard(httpServer.Handler)
+	ctx, endCalls := context.WithCancelCause(context.Background())
+	server.endCalls = endCalls
+	httpServer.BaseContext = func(net.Listener) context.Context { return ctx }
 	httpServer.ConnContext = withConn
 	httpServer.ConnState = server.trackState
 	server.sweeper = wait.Start(func(ctx context.Context) {
@@ -113,8 +117,14 @@
 	}
 }
 
+// EndCalls ends the contexts of the requests in progress with a cause, so that their handlers can still answer.
+func (s *Server) EndCalls(cause error) {
+	s.endCalls(cause)
+}
+
 // Close closes all connections, also those with requests in progress.
 func (s *Server) Close() {
+	s.endCalls(nil)
 	s.sweeper.Close()
 	s.stopAccepting()
 	_ = s.http.Close()
--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -179,9 +179,9 @@
 		r.response.Sends = u.sendCount + u.unsentCount + u.openCount()
 		return r.response, true
 	}
-	if err := ctx.Err(); err != nil {
+	if ctx.Err() != nil {
 		u.close()
-		return u.expiredAnswer(err), true
+		return u.endedAnswer(ctx), true
 	}
 	return nil, false
 }
@@ -298,10 +298,13 @@
 	}
 }
 
-// expiredAnswer returns the answer when the context has ended with err, by its deadline or because the caller left.
-func (u *unaryCall) expiredAnswer(err error) chain.Answer {
+// endedAnswer returns the answer when the context has ended: by its deadline, because the instance stops or because the
+// caller left.
+func (u *unaryCall) endedAnswer(ctx context.Context) chain.Answer {
 	switch {
-	case !errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), chain.ErrStopping):
+		return u.finalAnswer(chain.ErrStopping.Error())
+	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return chain.Left{}
 	case u.failedResponse != nil:
 		return *u.failedResponse
