link: one piece of code reads the body after a send

Sender.Exchange wrote Link.Exchange again, with its own send in front. Both call link.WithBody now. The model of peers clones its map with package maps.

--- a/core/mirror/peers_test.go
+++ b/core/mirror/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -68,10 +69,7 @@
 
 // with returns the objects after a change.
 func with(objects map[string]uint64, change Object) map[string]uint64 {
-	next := make(map[string]uint64, len(objects)+1)
-	for name, revision := range objects {
-		next[name] = revision
-	}
+	next := maps.Clone(objects)
 	delete(next, change.Name)
 	if !change.Deleted {
 		next[change.Name] = change.Revision
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -200,15 +200,7 @@
 
 // Exchange sends a request and returns its response and the whole body. Its errors are those of Send and ErrBroken.
 func (l *Link) Exchange(ctx context.Context, r Request) (*Reply, []byte, error) {
-	reply, err := l.Send(ctx, r)
-	if err != nil {
-		return nil, nil, err
-	}
-	body, err := reply.Whole()
-	if err != nil {
-		return nil, nil, err
-	}
-	return reply, body, nil
+	return WithBody(l.Send(ctx, r))
 }
 
 func (l *Link) dial(ctx context.Context, address string) (*conn, error) {
--- a/entry/link/reply.go
+++ b/entry/link/reply.go
@@ -76,6 +76,18 @@
 	return body, nil
 }
 
+// WithBody returns the result of a send and the whole body of its response. Its errors are that of the send and ErrBroken.
+func WithBody(reply *Reply, err error) (*Reply, []byte, error) {
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := reply.Whole()
+	if err != nil {
+		return nil, nil, err
+	}
+	return reply, body, nil
+}
+
 // readBody reads the body into one buffer, and no more than one byte over maxBodySize.
 func (r *Reply) readBody() ([]byte, error) {
 	return quota.ReadAll(io.LimitReader(r.response.Body, maxBodySize+1), r.response.ContentLength, r.account)
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -286,15 +286,7 @@
 
 // Exchange sends a request as Send does, and returns its response and the whole body.
 func (s *Sender) Exchange(ctx context.Context, target site.Target, r link.Request) (*link.Reply, []byte, error) {
-	reply, err := s.Send(ctx, target, r)
-	if err != nil {
-		return nil, nil, err
-	}
-	body, err := reply.Whole()
-	if err != nil {
-		return nil, nil, err
-	}
-	return reply, body, nil
+	return link.WithBody(s.Send(ctx, target, r))
 }
 
 // Outgoing returns the encoded request to a target; fresh asks for a connection that was not used before.
