site, picker: targets that end together are recorded in one step

Cause: put the names of ended targets into an immutable set and added them one by one, so that the end of n targets copied the set n times, in the picker's reconcile. Change: WithEnded takes all targets that have ended. Behaviour is unchanged. Tests of site, picker (with the race detector), the shape of packages and three groups of platform/internal/cmds pass.

--- a/core/site/departure.go
+++ b/core/site/departure.go
@@ -55,10 +55,12 @@
 	return ok && t.IsSameStart(s.target) && now.Sub(s.at) < leavingRenewal
 }
 
-// WithEnded returns the set with one more ended target, without the records that have expired.
-func (d Departures) WithEnded(name string, now time.Time) Departures {
+// WithEnded returns the set with more ended targets, without the records that have expired.
+func (d Departures) WithEnded(targets []Target, now time.Time) Departures {
 	next := d.without(now)
-	next.endedAt[name] = now
+	for _, t := range targets {
+		next.endedAt[t.Name] = now
+	}
 	return next
 }
 
--- a/core/site/departure_test.go
+++ b/core/site/departure_test.go
@@ -30,13 +30,13 @@
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
-			d := Departures{}.WithLeaving(test.said, now.Add(-test.age)).WithEnded("z", now)
+			d := Departures{}.WithLeaving(test.said, now.Add(-test.age)).WithEnded([]Target{{Name: "z"}}, now)
 			targets := []Target{test.target}
 			c.Assert(d.Apply(targets)[0].Leaving, quicktest.Equals, test.leaving)
 			c.Assert(targets[0].Leaving, quicktest.IsFalse)
 			c.Assert(d.IsLeaving(test.target, now), quicktest.Equals, test.leaving && test.age < leavingRenewal)
 			c.Assert(d.HasEnded("z"), quicktest.IsTrue)
-			c.Assert(d.WithEnded("y", now.Add(endedTTL+time.Second)).HasEnded("z"), quicktest.IsFalse)
+			c.Assert(d.WithEnded([]Target{{Name: "y"}}, now.Add(endedTTL+time.Second)).HasEnded("z"), quicktest.IsFalse)
 		})
 	}
 }
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -187,9 +187,11 @@
 	})
 	p.sumsStale.Store(true) // New targets have no remote load yet.
 	changes := next.ChangesSince(old)
+	if len(changes.Ended) > 0 {
+		p.departures.Update(func(d site.Departures) site.Departures { return d.WithEnded(changes.Ended, time.Now()) })
+	}
 	for _, ended := range changes.Ended {
 		p.onRemoved(ended.Address)
-		p.departures.Update(func(d site.Departures) site.Departures { return d.WithEnded(ended.Name, time.Now()) })
 		p.logTarget(ended).Info("target was removed, restarted or moved")
 	}
 	if old.Len() > 0 {
