flight: streams that move before the next target has begun are counted and logged

When a stream has left a silent target, the log named its silence, and a later line the refusal of the next target; nothing said whether the next one had taken the stream when the first was closed. Behaviour is unchanged; go test ./entry/flight ./entry/send ./lab/internal/cmds ./entry/internal/boot pass.

--- a/entry/flight/move.go
+++ b/entry/flight/move.go
@@ -97,7 +97,7 @@
 	silent := s.current
 	s.current, s.next, s.overlap = s.next, nil, nil
 	silent.close()
-	s.sender.Counts.Silences.Inc()
+	s.countMove(silent)
 	if silent.received > 0 && errors.Is(s.silence.Err, guard.ErrStalled) {
 		s.sender.Learn(s.service, func(p flow.PauseEstimate) flow.PauseEstimate { return p.WithCut(s.silence.Length) })
 	}
@@ -105,6 +105,21 @@
 	return s.settle(ctx, silent, end)
 }
 
+// countMove counts and logs a stream that has left its silent target, by whether the next one has begun to answer.
+func (s *stream) countMove(silent *attempt) {
+	s.sender.Counts.Silences.Inc()
+	if !s.current.hasBegun {
+		s.sender.Counts.Undecided.Inc()
+	}
+	s.sender.Log.WithFields(log.Fields{
+		"request":    s.call.ID,
+		"target":     silent.pick.Target.Name,
+		"next":       s.current.pick.Target.Name,
+		"next-begun": s.current.hasBegun,
+		"events":     silent.received,
+	}).Info("stream leaves its silent target")
+}
+
 // withdrawOffer closes the attempt that was to take the place of the current one, whose target has sent an event.
 func (s *stream) withdrawOffer() {
 	s.spacing, s.nextOfferAt = retry.Spacing{}, time.Time{}
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -136,6 +136,9 @@
 	First    *metrics.Histogram
 	Pause    *metrics.Histogram
 	Resume   *metrics.Histogram
+
+	// Undecided counts the streams that left a silent target before the next one had begun to answer.
+	Undecided *metrics.Counter
 }
 
 // New returns a sender and makes the picker report its requests and retries to other instances.
@@ -167,6 +170,8 @@
 			First:    set.GetOrCreateHistogram("bramleywharf_first_event_seconds"),
 			Pause:    set.GetOrCreateHistogram("bramleywharf_event_pause_seconds"),
 			Resume:   set.GetOrCreateHistogram("bramleywharf_stream_resume_seconds"),
+
+			Undecided: set.GetOrCreateCounter("bramleywharf_streams_moved_undecided_total"),
 		},
 	}
 	p.Report(sender.recentUsage)
