flight: a test of streams that leave a sound target for one that only queues them

Callers lost streams although their target was sound: it was silent for 1.5 s, or had them in its queue, and another target that had taken the connection then refused, broke off or went on queueing. Fails on this code: go test -race -run 'TestSilentTargetIsKeptUntilAnotherBegins|TestQueueIsNoLoss' ./entry/flight: all ten cases; the streams of five end cut or refused, those of the others begin anew at the target that they had left.

--- a/entry/flight/move_test.go
+++ b/entry/flight/move_test.go
@@ -40,6 +40,70 @@
 	w.c.Assert(w.seen(), quicktest.HasLen, 1)
 }
 
+// TestSilentTargetIsKeptUntilAnotherBegins guards against streams that lose their sound target to one that only queues them.
+func TestSilentTargetIsKeptUntilAnotherBegins(t *testing.T) {
+	const late = 600 * time.Millisecond
+	cases := map[string]struct {
+		other       behaviour
+		maxAttempts int
+		atBegin     bool // atBegin makes the target silent before its first event, while requests wait in its queue.
+	}{
+		"other-queues":                    {behaviour{queued: true}, 5, false},
+		"other-queues-and-refuses":        {behaviour{queued: true, refuseAfter: late}, 2, false},
+		"other-queues-and-breaks-off":     {behaviour{queued: true, breakAfter: late}, 2, false},
+		"other-is-silent":                 {behaviour{unheard: true}, 5, false},
+		"other-is-silent-and-refuses":     {behaviour{unheard: true, refuseAfter: late}, 2, false},
+		"both-queue":                      {behaviour{queued: true}, 5, true},
+		"both-queue-and-other-refuses":    {behaviour{queued: true, refuseAfter: late}, 2, true},
+		"both-queue-and-other-breaks-off": {behaviour{queued: true, breakAfter: late}, 2, true},
+		"queues-and-other-is-silent":      {behaviour{unheard: true}, 5, true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, "a", "b")
+			w.maxAttempts = test.maxAttempts
+			goesOn := make(chan struct{})
+			silence, first := 1500*time.Millisecond, behaviour{haltAt: 3, resume: goesOn}
+			if test.atBegin {
+				silence, first = 3500*time.Millisecond, behaviour{begin: goesOn, queued: true}
+			}
+			for _, target := range w.targets {
+				w.behave(target.Name, first)
+			}
+			time.AfterFunc(silence, func() { close(goesOn) })
+			caller := &caller{}
+			runner, answers := w.start(w.c.Context(), caller)
+			other := test.other
+			if other.refuseAfter == 0 && other.breakAfter == 0 {
+				other.begin = w.c.Context().Done()
+			}
+			w.behave(w.others(runner)[0], other)
+			w.assertWhole(<-answers, caller)
+			w.c.Assert(w.seen()[0].left, quicktest.IsFalse)
+		})
+	}
+}
+
+// TestQueueIsNoLoss guards against targets that get no new requests since streams wait in their queues.
+func TestQueueIsNoLoss(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, "a", "b")
+	goesOn := make(chan struct{})
+	for _, target := range w.targets {
+		w.behave(target.Name, behaviour{begin: goesOn, queued: true})
+	}
+	caller := &caller{}
+	_, answers := w.start(w.c.Context(), caller)
+	for watched := time.Now().Add(3500 * time.Millisecond); time.Now().Before(watched); time.Sleep(20 * time.Millisecond) {
+		for _, target := range w.targets {
+			w.c.Assert(w.isSound(target.Name), quicktest.IsTrue)
+		}
+	}
+	close(goesOn)
+	w.assertWhole(<-answers, caller)
+}
+
 // keepSuspect reports a target as lost until stop is closed.
 func keepSuspect(pick *picker.Pick, stop <-chan struct{}) {
 	for {
--- a/entry/flight/world_test.go
+++ b/entry/flight/world_test.go
@@ -1,6 +1,7 @@
 package flight
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -32,15 +33,21 @@
 	eventPace   = 20 * time.Millisecond // eventPace is the time between two events.
 	waitTimeout = 10 * time.Second      // waitTimeout bounds each wait of a test.
 	echoHeader  = "Echo-Id"             // echoHeader is the header in which targets repeat a request's id.
+
+	queuedReport = "queued" // queuedReport is the report of a target in whose queue requests wait.
 )
 
 // behaviour says how a target answers. Channels that are nil let it go on at once.
 type behaviour struct {
-	refuses bool
-	begin   <-chan struct{} // begin is waited for before the first event.
-	haltAt  int             // haltAt is the event after which resume is waited for, or 0.
-	resume  <-chan struct{}
-	crash   <-chan struct{} // crash is waited for after the head; the target then ends. Nil lets it run on.
+	refuses     bool
+	refuseAfter time.Duration   // refuseAfter is the time after which a refusal is sent; refuses has none.
+	breakAfter  time.Duration   // breakAfter is the time after which the connection is closed without an answer, or 0.
+	begin       <-chan struct{} // begin is waited for before the first event.
+	haltAt      int             // haltAt is the event after which resume is waited for, or 0.
+	resume      <-chan struct{}
+	crash       <-chan struct{} // crash is waited for after the head; the target then ends. Nil lets it run on.
+	queued      bool            // queued makes the target report that requests wait.
+	unheard     bool            // unheard leaves the target's reports without an answer.
 }
 
 // run is what a target has seen of a stream that it ran.
@@ -55,6 +62,8 @@
 	sender  *send.Sender
 	targets []site.Target
 
+	maxAttempts int // maxAttempts is that of the route, or 0 for 5.
+
 	mu         sync.Mutex
 	behaviours map[string]behaviour
 	runs       []*run
@@ -106,14 +115,17 @@
 // serve answers a request to a target.
 func (w *world) serve(name string, rw http.ResponseWriter, r *http.Request) {
 	rw.Header().Set(echoHeader, r.Header.Get(echoHeader))
+	w.mu.Lock()
+	b := w.behaviours[name]
 	if r.Header.Get(echoHeader) == "" {
+		w.mu.Unlock()
+		b.writeReport(rw, r)
 		return
 	}
-	w.mu.Lock()
-	b := w.behaviours[name]
-	if b.refuses {
+	if b.refuses || b.refuseAfter > 0 {
 		w.refusals[name]++
 		w.mu.Unlock()
+		time.Sleep(b.refuseAfter)
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -127,11 +139,25 @@
 	}
 }
 
+// writeReport writes the target's report.
+func (b behaviour) writeReport(rw http.ResponseWriter, r *http.Request) {
+	if b.unheard {
+		<-r.Context().Done()
+	}
+	if b.queued {
+		_, _ = rw.Write([]byte(queuedReport))
+	}
+}
+
 // writeEvents writes the events after the last one that the caller has, and reports whether it has written all.
 func (b behaviour) writeEvents(rw http.ResponseWriter, r *http.Request) bool {
 	if b.begin != nil && !isClosedFor(r, b.begin) {
 		return false
 	}
+	if b.breakAfter > 0 {
+		time.Sleep(b.breakAfter)
+		panic(http.ErrAbortHandler)
+	}
 	if b.crash != nil {
 		_ = http.NewResponseController(rw).Flush()
 		if !isClosedFor(r, b.crash) {
@@ -213,7 +239,7 @@
 func (w *world) start(ctx context.Context, caller *caller) (string, <-chan chain.Answer) {
 	answers := make(chan chain.Answer, 1)
 	policy := site.Stream{Resumable: true}
-	call := chain.Call{ID: "r1"}.WithRoute(site.NewConfig("1", 1, site.Limits{}), site.Route{RetryPolicy: policy, MaxAttempts: 5, Services: []site.WeightedService{{Service: testService, Weight: 1}}})
+	call := chain.Call{ID: "r1"}.WithRoute(site.NewConfig("1", 1, site.Limits{}), site.Route{RetryPolicy: policy, MaxAttempts: cmp.Or(w.maxAttempts, 5), Services: []site.WeightedService{{Service: testService, Weight: 1}}})
 	now := time.Now()
 	forward := chain.Forward{Method: http.MethodPost, Host: "host", Path: "/x", Deadline: now.Add(waitTimeout), Received: now, Prompt: chain.Prompt{{ID: "shared", Tokens: 10}, {ID: testSession, Tokens: 10}}, Outlet: caller}
 	go func() { answers <- Run(ctx, w.sender, call, forward, policy) }()
