flight: a stream leaves its silent target only for one that works on it

Cause: 250 ms after a stream was offered to another target the first attempt was closed, whatever the other one had said by then. If it refused, broke off or queued the stream after that, nothing was left. Class of fault: what is in hand is given up before its replacement is certain. Beside it, a wait in a target's queue counted as a silence, and the target as suspect.

Change: the other target is asked for its report, and retry.DecideOverlap ends the first attempt only for one that works on the stream. An offer to a target that only queues the stream, or does not report, is withdrawn, unless the first one is stalled or lost: then both stay open until one sends. flow.QueueWait tells a queue that moves from a target that hangs; a stream that waits in a queue goes only where it can begin at once, and marks nobody.

--- a/entry/chain/forward.go
+++ b/entry/chain/forward.go
@@ -71,10 +71,11 @@
 	EndedBySilence Ending = "silence" // EndedBySilence means that no event came in time.
 	EndedByProbe   Ending = "probe"   // EndedByProbe means that the silent target took no connection.
 	EndedByReport  Ending = "report"  // EndedByReport means that the silent target reported the stream as lost.
+	EndedByQueue   Ending = "queue"   // EndedByQueue means that it waited in a queue and another target could begin.
 )
 
 // Endings lists all values of Ending.
-var Endings = []Ending{EndedByTarget, EndedBySilence, EndedByProbe, EndedByReport}
+var Endings = []Ending{EndedByTarget, EndedBySilence, EndedByProbe, EndedByReport, EndedByQueue}
 
 func (Forward) isRequest() {}
 
--- a/entry/flight/ask.go
+++ b/entry/flight/ask.go
@@ -20,6 +20,7 @@
 // have to read first.
 func (s *stream) pickTarget(ctx context.Context) (*picker.Pick, bool) {
 	want := s.want()
+	want.Room = s.waits()
 	if s.sender.Picker.LoadAge() < maxLoadAge {
 		return s.sender.Picker.Stream(want)
 	}
--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -67,6 +67,7 @@
 	hasBegun  bool           // whether the target has begun to answer
 	received  int            // events that were received
 	isSuspect bool           // whether the target was reported as lost although the attempt goes on
+	isKept    bool           // whether it was recorded that the stream stays with its silent target
 }
 
 // steps returns the channel of the attempt's steps, or nil for no attempt.
@@ -130,6 +131,8 @@
 		return interrupted{cause: err.Error(), endedBy: chain.EndedByProbe}
 	case errors.Is(err, guard.ErrStreamLost):
 		return interrupted{cause: err.Error(), endedBy: chain.EndedByReport}
+	case errors.Is(err, guard.ErrQueued):
+		return interrupted{cause: err.Error(), endedBy: chain.EndedByQueue}
 	case errors.Is(err, guard.ErrStalled):
 		return interrupted{cause: err.Error(), endedBy: chain.EndedBySilence}
 	default:
@@ -187,7 +190,8 @@
 		return interruptedBy(errors.Errorf("event %s does not follow event %s", e.ID, s.lastEventID))
 	}
 	a.monitor.RecordEvent()
-	s.withdrawOffer() // The caller may be slow to take the event; the other target must not run the stream meanwhile.
+	s.resetOffers() // The caller may be slow to take the event; the other target must not run the stream meanwhile.
+	a.isKept = false
 	if a.isSuspect {
 		a.isSuspect = false
 		a.pick.Heard()
--- a/entry/flight/ending.go
+++ b/entry/flight/ending.go
@@ -37,7 +37,9 @@
 	case interrupted:
 		s.endedBy = r.endedBy
 		s.sender.Counts.Endings[r.endedBy].Inc()
-		a.pick.Lost(r.cause)
+		if r.endedBy != chain.EndedByQueue {
+			a.pick.Lost(r.cause)
+		}
 		if r.atBegin {
 			s.begins.BrokenOff(ctx, a.pick.Target)
 		}
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -44,7 +44,7 @@
 	avoided         atomic.Pointer[names] // targets that failed an attempt; also read by monitors
 	current         *attempt              // attempt whose events the caller gets, or nil
 	next            *attempt              // attempt that may take the place of current, or nil
-	overlap         <-chan time.Time      // fires when next takes that place in any case; nil without next
+	overlap         overlap               // time in which the stream is open at both; the zero value without next
 	silence         guard.Silence         // why next was opened
 	spacing         retry.Spacing         // time to leave between the offers that are refused
 	nextOfferAt     time.Time             // time before which no other target is offered the stream
@@ -152,8 +152,10 @@
 		return s.handleOffer(ctx, step)
 	case report := <-s.current.silences():
 		s.considerMove(ctx, report)
-	case <-s.overlap:
-		return s.move(ctx)
+	case <-s.overlap.check:
+		s.overlap = s.askOfferState(ctx)
+	case state := <-s.overlap.state:
+		return s.handleOfferState(ctx, state)
 	}
 	return nil, false
 }
@@ -165,7 +167,7 @@
 	if result == nil {
 		return nil, false
 	}
-	s.current, s.next, s.overlap = s.next, nil, nil
+	s.current, s.next, s.overlap = s.next, nil, overlap{}
 	ended.close()
 	if answer, done := s.settle(ctx, ended, result); done {
 		return answer, true
@@ -213,7 +215,7 @@
 func (s *stream) nextTarget(ctx context.Context) (*picker.Pick, *guard.Replica, bool) {
 	if !s.hasAttemptsLeft() {
 		for _, target := range s.refusers {
-			if pick, ok := s.sender.Picker.StreamAt(target, s.want()); ok && s.mayTake(pick) {
+			if pick, ok := s.sender.Picker.StreamAt(target, s.want()); ok && s.mayTake(ctx, pick) {
 				return pick, nil, true
 			}
 		}
@@ -228,8 +230,14 @@
 		}
 		s.replicas.Discard(r)
 	}
-	if pick, ok := s.pickTarget(ctx); ok && s.mayTake(pick) {
-		return pick, nil, true
+	if pick, ok := s.pickTarget(ctx); ok {
+		if s.mayTake(ctx, pick) {
+			return pick, nil, true
+		}
+		if s.waits() {
+			s.avoid(pick.Target) // Another one may have no queue.
+			return nil, nil, false
+		}
 	}
 	avoided := names{}
 	if s.current != nil {
@@ -241,8 +249,8 @@
 
 // mayTake reports whether a picked target may take the stream, and releases it if not. A suspect target may only take a
 // stream that has no target.
-func (s *stream) mayTake(pick *picker.Pick) bool {
-	if s.current == nil || s.sender.Picker.IsSound(pick.Target) {
+func (s *stream) mayTake(ctx context.Context, pick *picker.Pick) bool {
+	if s.current == nil || s.sender.Picker.IsSound(pick.Target) && s.wouldBegin(ctx, pick) {
 		return true
 	}
 	pick.Release()
@@ -250,6 +258,12 @@
 	return false
 }
 
+// wouldBegin reports whether a stream that waits in a queue would begin at once at a picked target. An offer takes one of
+// the stream's attempts and a retry.
+func (s *stream) wouldBegin(ctx context.Context, pick *picker.Pick) bool {
+	return !s.waits() || s.sender.HasNoQueue(ctx, pick.Target)
+}
+
 // want returns the criteria by which the picker chooses a target.
 func (s *stream) want() picker.Want {
 	session := s.request.Prompt.Session()
--- a/entry/flight/move.go
+++ b/entry/flight/move.go
@@ -13,7 +13,6 @@
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/guard"
 	"bramleywharf.example/entry/offer"
-	"bramleywharf.example/entry/picker"
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 )
@@ -21,14 +20,25 @@
 const (
 	// moveCheckInterval is the time between two checks of whether a silent stream can move.
 	moveCheckInterval = 200 * time.Millisecond
-	// overlapTimeout is how long a silent attempt stays open after the stream was offered to another target; full targets
-	// refuse it at once.
-	overlapTimeout = 250 * time.Millisecond
+	// overlapCheckDelay is the time after an offer until its target is asked whether it works on the stream, and between
+	// two such questions. Full targets refuse a stream at once, and both targets must not work on it for long.
+	overlapCheckDelay = 250 * time.Millisecond
 	// refusalTimeout is how long after its last event a stream without an attempt is sent to targets that refused it
 	// before; callers give up after 5.6 s, and the target that takes it may have to read the prompt.
 	refusalTimeout = 4 * time.Second
 )
 
+// overlap is the time in which a stream is open at a silent target and at another one. Its values are never changed.
+type overlap struct {
+	check <-chan time.Time        // check fires when the other target is to be asked what it does.
+	state <-chan retry.OfferState // state receives the answer.
+}
+
+// newOverlap returns an overlap whose next question is due after overlapCheckDelay.
+func newOverlap() overlap {
+	return overlap{check: time.After(overlapCheckDelay)}
+}
+
 // names is an immutable set of names of targets.
 type names map[string]bool
 
@@ -49,12 +59,15 @@
 // considerMove offers the stream to another target for a silence of the current one, if it can go on elsewhere. The
 // current attempt stays open until the other target takes the stream.
 func (s *stream) considerMove(ctx context.Context, report guard.Silence) {
+	if report.LastEvent != s.current.monitor.LastEvent() {
+		return
+	}
+	s.silence = report
 	now := time.Now()
-	if s.next != nil || now.Before(s.nextOfferAt) || report.LastEvent != s.current.monitor.LastEvent() {
+	if s.next != nil || now.Before(s.nextOfferAt) {
 		return
 	}
 	s.nextOfferAt = now.Add(moveCheckInterval)
-	s.silence = report
 	switch step := retry.Decide(s).(type) {
 	case retry.Stay:
 		s.keep(step.Reason)
@@ -62,10 +75,13 @@
 		s.avoid(s.current.pick.Target)
 		if pick, from, ok := s.nextTarget(ctx); ok {
 			s.next = s.open(ctx, pick, from)
-			s.overlap = time.After(overlapTimeout)
+			s.overlap = newOverlap()
 			return
 		}
 		s.reservation.Return()
+		if s.waits() {
+			s.postponeOffer("no other target can begin at once")
+		}
 	}
 }
 
@@ -76,7 +92,7 @@
 	if result == nil {
 		return s.move(ctx)
 	}
-	s.next, s.overlap = nil, nil
+	s.next, s.overlap = nil, overlap{}
 	refused.close()
 	s.current.pick.Stays()
 	if answer, done := s.settle(ctx, refused, result); done {
@@ -86,16 +102,65 @@
 		s.nextOfferAt = time.Time{} // It cost no other target anything.
 		return nil, false
 	}
+	s.postponeOffer("the target that it was offered to did not take it")
+	return nil, false
+}
+
+// askOfferState asks the target of the offer whether it works on the stream.
+func (s *stream) askOfferState(ctx context.Context) overlap {
+	state, target := make(chan retry.OfferState, 1), s.next.pick.Target
+	go func() { state <- s.sender.OfferState(ctx, target, s.call.ID) }()
+	return overlap{state: state}
+}
+
+// handleOfferState handles what the target of the offer does with the stream. Steps that have arrived say more.
+func (s *stream) handleOfferState(ctx context.Context, state retry.OfferState) (chain.Answer, bool) {
+	s.overlap = newOverlap()
+	select {
+	case step := <-s.current.steps():
+		return s.handleStep(ctx, step)
+	default:
+	}
+	select {
+	case step := <-s.next.steps():
+		return s.handleOffer(ctx, step)
+	default:
+	}
+	switch decided := retry.DecideOverlap(doubtOf(s.silence.Err), state).(type) {
+	case retry.Replace:
+		return s.move(ctx)
+	case retry.Withdraw:
+		s.avoid(s.next.pick.Target)
+		s.withdrawOffer()
+		s.postponeOffer(decided.Reason)
+	case retry.Overlap:
+	}
+	return nil, false
+}
+
+// doubtOf returns the doubt about a target that a monitor's error stands for.
+func doubtOf(err error) retry.Doubt {
+	switch {
+	case errors.Is(err, guard.ErrQueued):
+		return retry.Waits{}
+	case errors.Is(err, guard.ErrStalled):
+		return retry.Stalled{}
+	default:
+		return retry.Lost{}
+	}
+}
+
+// postponeOffer spaces the offers that other targets do not take, and records that the stream stays.
+func (s *stream) postponeOffer(reason string) {
 	s.spacing = s.spacing.WithRefusal()
 	s.nextOfferAt = time.Now().Add(s.spacing.Delay())
-	s.keep("the target that it was offered to did not take it")
-	return nil, false
+	s.keep(reason)
 }
 
 // move closes the silent attempt and puts the next one in its place.
 func (s *stream) move(ctx context.Context) (chain.Answer, bool) {
 	silent := s.current
-	s.current, s.next, s.overlap = s.next, nil, nil
+	s.current, s.next, s.overlap = s.next, nil, overlap{}
 	silent.close()
 	s.countMove(silent)
 	if silent.received > 0 && errors.Is(s.silence.Err, guard.ErrStalled) {
@@ -120,31 +185,44 @@
 	}).Info("stream leaves its silent target")
 }
 
-// withdrawOffer closes the attempt that was to take the place of the current one, whose target has sent an event.
-func (s *stream) withdrawOffer() {
+// resetOffers ends the offer to another target, as the current one has sent an event.
+func (s *stream) resetOffers() {
 	s.spacing, s.nextOfferAt = retry.Spacing{}, time.Time{}
+	s.withdrawOffer()
+}
+
+// withdrawOffer closes the attempt that was to take the place of the current one.
+func (s *stream) withdrawOffer() {
 	defer s.reservation.Return()
 	if s.next == nil {
 		return
 	}
 	withdrawn := s.next
-	s.next, s.overlap = nil, nil
+	s.next, s.overlap = nil, overlap{}
 	if r, ok := withdrawn.close().(offer.NotRun); ok {
 		s.uncount(withdrawn, notRun{received: r.Received, misdirected: r.Misdirected})
+	} else {
+		s.mayHaveRun = true
 	}
 	s.current.pick.Stays()
 	s.replicas.Discard(withdrawn.replica)
 }
 
 // keep records once for each silence that the stream stays with its target. New streams avoid the target until it sends
-// again.
+// again, unless the stream waits in its queue.
 func (s *stream) keep(reason string) {
 	a := s.current
-	if a == nil || a.isSuspect {
+	if a == nil {
+		return
+	}
+	if !a.isSuspect && !s.waits() {
+		a.isSuspect = true
+		a.pick.Lost(s.silence.Err.Error())
+	}
+	if a.isKept {
 		return
 	}
-	a.isSuspect = true
-	a.pick.Lost(s.silence.Err.Error())
+	a.isKept = true
 	s.sender.Counts.Kept.Inc()
 	s.sender.Log.WithFields(log.Fields{
 		"request":    s.call.ID,
@@ -162,7 +240,18 @@
 
 // HasAlternative reports whether another target can take the stream.
 func (s *stream) HasAlternative() bool {
-	return s.sender.Picker.HasSound(picker.Want{Service: s.service, Avoid: map[string]bool{s.current.pick.Target.Name: true}})
+	own := s.current.pick.Target.Name
+	if r := s.replicas.Current(); r != nil && r.Holder.Name != own && s.sender.Picker.IsSound(r.Holder) {
+		return true
+	}
+	want := s.want()
+	want.Avoid, want.Room = names{own: true}, s.waits()
+	return s.sender.Picker.HasSound(want)
+}
+
+// waits reports whether the stream waits in the queue of its target, by the last silence.
+func (s *stream) waits() bool {
+	return s.current != nil && errors.Is(s.silence.Err, guard.ErrQueued)
 }
 
 // Reserve reserves a retry for the stream, unless the bound on retries is reached.
--- a/entry/flight/world_test.go
+++ b/entry/flight/world_test.go
@@ -34,7 +34,8 @@
 	waitTimeout = 10 * time.Second      // waitTimeout bounds each wait of a test.
 	echoHeader  = "Echo-Id"             // echoHeader is the header in which targets repeat a request's id.
 
-	queuedReport = "queued" // queuedReport is the report of a target in whose queue requests wait.
+	queuedReport = "queued " // queuedReport begins the report of a target in whose queue requests wait.
+	oldReport    = "old"     // oldReport is a report from before the request arrived.
 )
 
 // behaviour says how a target answers. Channels that are nil let it go on at once.
@@ -47,7 +48,9 @@
 	resume      <-chan struct{}
 	crash       <-chan struct{} // crash is waited for after the head; the target then ends. Nil lets it run on.
 	queued      bool            // queued makes the target report that requests wait.
+	stuck       bool            // stuck is queued without progress.
 	unheard     bool            // unheard leaves the target's reports without an answer.
+	old         bool            // old makes the target's reports older than its requests.
 }
 
 // run is what a target has seen of a stream that it ran.
@@ -61,6 +64,7 @@
 	c       *quicktest.C
 	sender  *send.Sender
 	targets []site.Target
+	servers map[string]*httptest.Server
 
 	maxAttempts int // maxAttempts is that of the route, or 0 for 5.
 
@@ -81,9 +85,10 @@
 
 // newWorld returns a world of sound targets.
 func newWorld(t *testing.T, names ...string) *world {
-	w := &world{c: quicktest.New(t), behaviours: make(map[string]behaviour), refusals: make(map[string]int)}
+	w := &world{c: quicktest.New(t), behaviours: make(map[string]behaviour), refusals: make(map[string]int), servers: make(map[string]*httptest.Server)}
 	for i, name := range names {
 		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serve(name, rw, r) }))
+		w.servers[name] = server
 		t.Cleanup(server.Close)
 		t.Cleanup(server.CloseClientConnections)
 		w.targets = append(w.targets, site.Target{Name: name, Service: testService, Address: server.Listener.Addr().String(), Domain: name, Revision: uint64(i + 1)})
@@ -144,8 +149,13 @@
 	if b.unheard {
 		<-r.Context().Done()
 	}
-	if b.queued {
-		_, _ = rw.Write([]byte(queuedReport))
+	switch {
+	case b.queued:
+		_, _ = fmt.Fprint(rw, queuedReport, time.Now().UnixNano())
+	case b.stuck:
+		_, _ = fmt.Fprint(rw, queuedReport, 0)
+	case b.old:
+		_, _ = fmt.Fprint(rw, oldReport)
 	}
 }
 
@@ -299,13 +309,20 @@
 // Copied reports that there is no replica.
 func (plainDialect) Copied(int, []byte) (string, bool) { return "", false }
 
-// Ask returns a request to which the answer is empty.
+// Ask returns a request to which the answer is a report.
 func (plainDialect) Ask(target site.Target) link.Request {
 	return link.Request{Address: target.Address, Host: "host", Method: http.MethodGet, Path: "/"}
 }
 
-// Progress reports that the target has the request.
-func (plainDialect) Progress(string, []byte) (send.Progress, error) {
+// Progress reports that the target has the request, in its queue if the report says so.
+func (plainDialect) Progress(_ string, body []byte) (send.Progress, error) {
+	if events, ok := strings.CutPrefix(string(body), queuedReport); ok {
+		total, err := strconv.Atoi(events)
+		return send.Progress{Unnamed: 1, Waiting: 1, Total: total}, err
+	}
+	if string(body) == oldReport {
+		return send.Progress{}, nil
+	}
 	return send.Progress{Listed: true}, nil
 }
 
--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -17,6 +17,8 @@
 var (
 	// ErrStalled means that no event came in time.
 	ErrStalled = errors.New("target sent no event in time")
+	// ErrQueued means that no event came in time since the stream waits in the target's queue, or its prompt is read after that.
+	ErrQueued = errors.New("stream waits in the target's queue")
 	// ErrUnreachable means that the silent target takes no connection.
 	ErrUnreachable = errors.New("target stopped sending and accepts no connection")
 	// ErrStreamLost means that the silent target's report shows that the stream is lost.
@@ -32,6 +34,8 @@
 	// milliseconds old.
 	reportLag     = 700 * time.Millisecond
 	checkInterval = 40 * time.Millisecond // checkInterval is how often a monitor checks its attempt.
+	// queueCheckInterval is the least time between two questions for the queue of a target.
+	queueCheckInterval = 1200 * time.Millisecond
 )
 
 // Silence is the report of a monitor that its target may be lost.
@@ -59,6 +63,8 @@
 	startedAt        time.Time
 	lastEvent        atomic.Int64       // time of the last event in nanoseconds since startedAt, 0 before the first
 	lastProbe        time.Duration      // time of the last probe since startedAt
+	queueWait        flow.QueueWait     // what the target has reported of its queue since the stream is overdue
+	queueWaitFor     time.Duration      // last event that queueWait is for
 	replicaOrderedAt time.Time          // when a replica was ordered last
 	refusedHolder    string             // last target to refuse a replica; written by orderReplica while replicating is set
 	replicating      atomic.Bool        // whether orderReplica is running
@@ -155,6 +161,10 @@
 		Pauses:       m.subject.Sender.Pace(m.subject.Service),
 	}
 	if silence > expected.Timeout() {
+		readTime := flow.Silence{PromptTokens: m.subject.PromptTokens}.Timeout()
+		if m.askQueue(ctx, now, lastEvent).Explains(now, readTime, lastEvent > 0) {
+			return ErrQueued
+		}
 		return ErrStalled
 	}
 	if silence <= expected.ProbeDelay() || m.lastProbe > lastEvent && now-m.lastProbe < expected.ProbeInterval() {
@@ -173,6 +183,18 @@
 	return err
 }
 
+// askQueue returns what the target reports of its queue since the stream is overdue, and asks it at intervals.
+func (m *Monitor) askQueue(ctx context.Context, now, lastEvent time.Duration) flow.QueueWait {
+	if m.queueWaitFor != lastEvent {
+		m.queueWait, m.queueWaitFor = flow.QueueWait{}, lastEvent
+	}
+	if m.queueWait.IsDue(now, queueCheckInterval) {
+		progress, err := m.subject.Sender.AskLoad(ctx, m.subject.Pick.Target, m.subject.Call.ID)
+		m.queueWait = m.queueWait.WithReport(now, err == nil && progress.MayWait(), progress.Load())
+	}
+	return m.queueWait
+}
+
 // checkProgress reads the target's report. It returns an error when the target has produced events, none of which
 // arrived, when it does not have the request, or when it takes no connection.
 func (m *Monitor) checkProgress(ctx context.Context) error {
--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -36,6 +36,10 @@
 	// replicaMemoryShare is the part of a target's memory up to which it takes replicas.
 	replicaMemoryShare = 0.75
 
+	// streamMemoryShare is the part of a target's memory up to which a stream is expected to begin at once; the rest is for
+	// what streams write.
+	streamMemoryShare = 0.9
+
 	// sameDomainCost puts the targets of the excluded failure domain behind all others.
 	sameDomainCost = 1000
 )
@@ -57,6 +61,7 @@
 	Prompt  int             // Prompt is the number of prompt tokens to be read, or 0.
 	Memory  int             // Memory is the capacity of one target in tokens, or 0 if it is unknown.
 	Avoid   map[string]bool // Avoid holds the names of targets that must not be chosen.
+	Room    bool            // Room leaves out targets at which a stream would wait for memory.
 }
 
 // Plain chooses a target for a non-streaming request: mostly the one with the lowest product of requests in flight,
@@ -179,9 +184,12 @@
 
 // HasSound reports whether a service has a target that takes new requests, is not suspect and is not avoided.
 func (p *Picker) HasSound(want Want) bool {
+	if want.Room {
+		p.refreshSums()
+	}
 	now := time.Now()
 	for _, target := range p.targetTable.Load().available[want.Service] {
-		if !want.Avoid[target.Name] && !target.state.healthStatus.Load().IsSuspect(now) {
+		if !want.Avoid[target.Name] && !target.state.healthStatus.Load().IsSuspect(now) && target.state.suits(want) {
 			return true
 		}
 	}
@@ -324,15 +332,26 @@
 		costPerReplica*float64(s.replicas.Load()+int64(remoteLoad.Replicas))
 }
 
-// hasReplicaRoom reports whether the target has memory for one more replica, assuming that each stream and replica
-// takes as much as want's prompt. When memory runs short, replicas would make streams wait.
+// suits reports whether the target has room for one more stream if want asks for that.
+func (s *targetState) suits(want Want) bool {
+	return !want.Room || s.hasRoom(want, streamMemoryShare)
+}
+
+// hasReplicaRoom reports whether the target has memory for one more replica. When memory runs short, replicas would make
+// streams wait.
 func (s *targetState) hasReplicaRoom(want Want) bool {
+	return s.hasRoom(want, replicaMemoryShare)
+}
+
+// hasRoom reports whether one more stream or replica fits into a share of the target's memory, assuming that each takes as
+// much as want's prompt.
+func (s *targetState) hasRoom(want Want, share float64) bool {
 	if want.Memory == 0 || want.Prompt == 0 {
 		return true
 	}
 	remoteLoad := s.remoteLoad.Load()
 	promptsHeld := s.streams.Load() + s.replicas.Load() + int64(remoteLoad.Streams+remoteLoad.Replicas) + 1
-	return float64(promptsHeld*int64(want.Prompt)) <= replicaMemoryShare*float64(want.Memory)
+	return float64(promptsHeld*int64(want.Prompt)) <= share*float64(want.Memory)
 }
 
 // candidate is a target with its cost, and with its score in the order of the session for targets of equal cost.
@@ -369,7 +388,7 @@
 	for _, target := range available {
 		healthStatus := target.state.healthStatus.Load()
 		switch {
-		case want.Avoid[target.Name] || healthStatus.IsReplaced():
+		case want.Avoid[target.Name] || healthStatus.IsReplaced() || !target.state.suits(want):
 		case healthStatus.IsSuspect(now):
 			suspects = append(suspects, target)
 		default:
--- a/entry/picker/picker_test.go
+++ b/entry/picker/picker_test.go
@@ -154,6 +154,34 @@
 	}
 }
 
+func TestHasRoom(t *testing.T) {
+	full := map[string]int{"a": 9, "b": 9, "c": 9}
+	cases := map[string]struct {
+		streams map[string]int // streams of other instances by target
+		memory  int
+		avoid   map[string]bool
+		want    bool
+	}{
+		"empty":          {nil, 88000, nil, true},
+		"full":           {full, 88000, nil, false},
+		"one-has-room":   {map[string]int{"a": 9, "b": 9, "c": 8}, 88000, nil, true},
+		"it-is-avoided":  {map[string]int{"a": 9, "b": 9, "c": 8}, 88000, map[string]bool{"c": true}, false},
+		"memory-unknown": {full, 0, nil, true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				time.Sleep(time.Millisecond)
+				p := newPicker(t)
+				p.Merge([]wire.LoadReport{reportOfStreams(1, test.streams)})
+				want := Want{Service: "s", Session: "session", Prompt: 8000, Memory: test.memory, Avoid: test.avoid, Room: true}
+				quicktest.Assert(t, p.HasSound(want), quicktest.Equals, test.want)
+				quicktest.Assert(t, len(p.Best(want, 1)) > 0, quicktest.Equals, test.want)
+			})
+		})
+	}
+}
+
 // TestPlacesAreForgotten checks that a session's target is remembered for placementTTL after its last stream ended.
 func TestPlacesAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/send/backlog.go
+++ b/entry/send/backlog.go
@@ -3,15 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
+	"bramleywharf.example/core/retry"
 	"bramleywharf.example/core/route"
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/entry/link"
 )
 
-// askTimeout bounds the question for a backlog. A target answers in about a millisecond, and reading a prompt takes a
+// askTimeout bounds a question for which a request waits. A target answers in about a millisecond, and reading a prompt takes a
 // second.
 const askTimeout = 100 * time.Millisecond
 
@@ -41,12 +43,43 @@
 	}
 }
 
+// OfferState asks a target that was offered a request what it does with it.
+func (s *Sender) OfferState(ctx context.Context, target site.Target, id string) retry.OfferState {
+	progress, err := s.AskLoad(ctx, target, id)
+	switch {
+	case err != nil:
+		return retry.Unheard{}
+	case progress.MayWait():
+		return retry.Queued{}
+	case progress.Listed || progress.Unnamed > 0:
+		return retry.Working{}
+	default:
+		return retry.Unlisted{}
+	}
+}
+
+// HasNoQueue asks a target whether no request waits in its queue.
+func (s *Sender) HasNoQueue(ctx context.Context, target site.Target) bool {
+	progress, err := s.AskLoad(ctx, target, "")
+	return err == nil && progress.Waiting == 0
+}
+
+// AskLoad is AskProgress for at most askTimeout.
+func (s *Sender) AskLoad(ctx context.Context, target site.Target, id string) (Progress, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return s.AskProgress(ctx, target, id)
+}
+
 // AskProgress asks a target for its report, and returns what it says of the request with an id.
 func (s *Sender) AskProgress(ctx context.Context, target site.Target, id string) (Progress, error) {
-	_, body, err := s.Exchange(ctx, target, s.Dialect.Ask(target))
+	reply, body, err := s.Exchange(ctx, target, s.Dialect.Ask(target))
 	if err != nil {
 		return Progress{}, fmt.Errorf("ask for a report: %w", err)
 	}
+	if reply.Status() != http.StatusOK {
+		return Progress{}, fmt.Errorf("ask for a report: status %d", reply.Status())
+	}
 	progress, err := s.Dialect.Progress(id, body)
 	if err != nil {
 		s.Log.WithError(err).WithField("target", target.Name).Info("report of the target cannot be decoded")
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -51,6 +51,18 @@
 	Listed  bool // Listed tells that the target lists the request, as it does once the prompt is read.
 	Events  int  // Events counts the events produced so far, 0 while the prompt is being read.
 	Unnamed int  // Unnamed counts the requests that the target does not list: they wait or their prompt is being read.
+	Waiting int  // Waiting counts those of them that wait.
+	Total   int  // Total counts the events of all listed requests.
+}
+
+// MayWait reports whether the request may wait in the target's queue.
+func (p Progress) MayWait() bool {
+	return !p.Listed && p.Waiting > 0
+}
+
+// Load returns what the target reports of all its work.
+func (p Progress) Load() flow.Load {
+	return flow.Load{Waiting: p.Waiting, Unread: p.Unnamed, Events: p.Total}
 }
 
 // Verdict is the sealed set of what a response proves about the request: Signed, NotRun and Unsigned.
