edge: a request whose body is still arriving at a stop is refused

Callers saw their connection cut 700 to 500 ms before the end of the grace period while they were still sending a body, long before their deadline, although a refusal would have been true: nothing had run. Cause: body.Read waits for bytes until the caller's deadline only. The end of the calls at the end of the grace period ends their contexts, which nobody looks at while a body is read, and 200 ms later all connections are closed. The context is also cancelled by net/http when a read fails; such an end has no cause of its own and leaves the error as it is, which TestRead/slow-within-the-size shows: without that it got "cut" for "too slow". Evidence: TestSlowBodyIsRefusedAtStop failed in all 7 cases before and passes after, three runs without and two with -race; the instance still stops within the grace period. A body that arrives whole before that is passed on as before (TestPlannedWorkEndsNothing, slow-body). Ruled out: a deadline for bodies at the begin of the stop, which would refuse requests that can still end in time. Tests of body, conns, front, edge, and with -race the tests of stops and planned work in cmds pass.

--- a/entry/body/body.go
+++ b/entry/body/body.go
@@ -1,19 +1,21 @@
 package body
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
 	"bramleywharf.example/core/quota"
+	"github.com/pkg/errors"
 )
 
 // Read returns the whole body of a request. It takes the memory from the account in the request's context, if there is
-// one, and reads until a deadline, since a caller may send a byte now and then.
+// one, and reads until a deadline, since a caller may send a byte now and then, or until the request's context ends.
 //
-// The error is a *http.MaxBytesError for a body over limit bytes, and quota.ErrExhausted if the requests in progress
-// hold too much memory.
+// The error is a *http.MaxBytesError for a body over limit bytes, quota.ErrExhausted if the requests in progress hold too
+// much memory, and the cause if the context was ended with one.
 func Read(w http.ResponseWriter, r *http.Request, limit int, deadline time.Time) ([]byte, error) {
 	if r.ContentLength > int64(limit) {
 		return nil, &http.MaxBytesError{Limit: int64(limit)}
@@ -25,7 +27,13 @@
 	if err := controller.SetReadDeadline(deadline); err != nil {
 		return nil, fmt.Errorf("set read deadline of a body: %w", err)
 	}
+	detach := context.AfterFunc(r.Context(), func() { _ = controller.SetReadDeadline(time.Now()) })
+	defer detach()
 	content, err := quota.ReadAll(Bound(w, r, int64(limit)), r.ContentLength, quota.FromContext(r.Context()))
+	// A read that fails cancels the context too, without a cause of its own.
+	if cause := context.Cause(r.Context()); err != nil && cause != nil && !errors.Is(cause, context.Canceled) {
+		err = cause
+	}
 	if err != nil {
 		return nil, fmt.Errorf("read body: %w", err)
 	}
