conns: a connection stays open for as long as its last answer has announced

Callers whose stream ended after a new version had lowered the idle limit found the connection closed 1 to 2 s after it, though Keep-Alive in the head of that stream allowed them to reuse it for 13 s; a request on it crosses the close. Cause: the idle limit of a connection is read when the answer is complete, and the head has told the caller the limit that was in force when it was sent. Change: the limit that a head is based on is kept with the connection and applies once it is idle. A head is announced once. Tests of conns pass with -race.

--- a/entry/internal/conns/conn.go
+++ b/entry/internal/conns/conn.go
@@ -12,8 +12,9 @@
 // conn is a caller's connection. Its goroutine in net/http moves it from phase to phase; any goroutine may close it.
 type conn struct {
 	net.Conn
-	phase   atomic.Pointer[phase]
-	crossed *metrics.Counter
+	phase     atomic.Pointer[phase]
+	announced time.Duration // announced is the idle limit of the last answer's head; only the goroutine in net/http uses it.
+	crossed   *metrics.Counter
 }
 
 var (
@@ -80,11 +81,11 @@
 	return c.receive(headBytes)
 }
 
-// rest moves the connection to idle unless it has been closed.
-func (c *conn) rest(now time.Time, limit time.Duration) {
+// rest moves the connection to idle, under the limit that the last answer has announced, unless it has been closed.
+func (c *conn) rest(now time.Time) {
 	p := c.phase.Load()
 	if _, isClosed := (*p).(closed); !isClosed {
-		c.phase.CompareAndSwap(p, newPhase(idle{since: now, limit: limit}))
+		c.phase.CompareAndSwap(p, newPhase(idle{since: now, limit: c.announced}))
 	}
 }
 
--- a/entry/internal/conns/conn_test.go
+++ b/entry/internal/conns/conn_test.go
@@ -36,7 +36,8 @@
 			idleConn := newConn(raw, time.Now(), new(metrics.Counter))
 			defer func() { _ = idleConn.Close() }()
 			c.Assert(idleConn.begin(), quicktest.IsTrue)
-			idleConn.rest(time.Now(), time.Second)
+			idleConn.announced = time.Second
+			idleConn.rest(time.Now())
 			_, err = io.WriteString(near, test.input)
 			c.Assert(err, quicktest.IsNil)
 			time.Sleep(50 * time.Millisecond) // The input crosses loopback.
--- a/entry/internal/conns/phase.go
+++ b/entry/internal/conns/phase.go
@@ -21,7 +21,7 @@
 // idle means that the last request was answered.
 type idle struct {
 	since time.Time
-	limit time.Duration // limit is the idle limit that was in force when the connection became idle; 0 means none.
+	limit time.Duration // limit is the idle limit that the head of the last answer was based on; 0 means none.
 }
 
 // reading means that fewer than headBytes bytes have arrived since the last answer: a request begins, or they are stray.
--- a/entry/internal/conns/server.go
+++ b/entry/internal/conns/server.go
@@ -162,7 +162,7 @@
 	}
 	switch state {
 	case http.StateIdle:
-		c.rest(time.Now(), s.settings.IdleLimit())
+		c.rest(time.Now())
 		// The head of the answer may have been sent before the server began to leave.
 		if s.leaving.Load() && c.closeUnused(leaving{}, time.Now()) {
 			s.onLeaving.Inc()
@@ -195,7 +195,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		defer s.reportCut(c, r)
-		guarded := &writer{ResponseWriter: w, server: s}
+		guarded := &writer{ResponseWriter: w, server: s, conn: c}
 		next.ServeHTTP(guarded, r)
 		guarded.announce()
 	})
--- a/entry/internal/conns/writer.go
+++ b/entry/internal/conns/writer.go
@@ -14,7 +14,9 @@
 // leaving by then.
 type writer struct {
 	http.ResponseWriter
-	server *Server
+	server    *Server
+	conn      *conn
+	announced bool
 }
 
 // WriteHeader sends the head of the answer.
@@ -47,12 +49,17 @@
 
 // announce has no effect once the head is sent.
 func (w *writer) announce() {
+	if w.announced {
+		return
+	}
+	w.announced = true
 	if w.server.leaving.Load() {
 		w.Header().Del("Keep-Alive")
 		w.Header().Set("Connection", "close")
 		return
 	}
-	if seconds := reuseTime(w.server.settings.IdleLimit()) / time.Second; seconds > 0 {
+	w.conn.announced = w.server.settings.IdleLimit()
+	if seconds := reuseTime(w.conn.announced) / time.Second; seconds > 0 {
 		w.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%d", seconds))
 	}
 }
