body: a body that is too large by its announced length is refused at once

Cause: Read returns before it has read anything, and net/http then reads up to 256 KiB of what is left of a body before it sends the answer, with no deadline, unless the connection is to be closed after it. Change: such an answer says Connection: close, as answers to bodies that are found too large while they are read do. net/http sends it first and drops the rest of the body after it. Ruled out: a deadline for that read; the refusal is true at once. Refused callers open a new connection for their next request, which is the price.

--- a/entry/body/body.go
+++ b/entry/body/body.go
@@ -18,6 +18,8 @@
 // much memory, and the cause if the context was ended with one.
 func Read(w http.ResponseWriter, r *http.Request, limit int, deadline time.Time) ([]byte, error) {
 	if r.ContentLength > int64(limit) {
+		// Without it, net/http reads up to 256 KiB of the body before it sends the answer.
+		w.Header().Set("Connection", "close")
 		return nil, &http.MaxBytesError{Limit: int64(limit)}
 	}
 	if r.ContentLength == 0 {
