offer, guard, picker, route: parts of flight and picker move to the packages that they belong to

The time in which a stream is open at two targets, the lists of refusers and of names move to entry/offer, the meaning of a silence to entry/guard, the order of targets to core/route.

--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -88,7 +88,8 @@
 
 // open starts an attempt at a target, from a replica unless that is nil.
 func (s *stream) open(ctx context.Context, pick *picker.Pick, from *guard.Replica) *attempt {
-	a := &attempt{pick: pick, replica: from, startedAt: time.Now(), isRepeat: s.reservation.Take(), isCounted: !s.removeRefuser(pick.Target)}
+	a := &attempt{pick: pick, replica: from, startedAt: time.Now(), isRepeat: s.reservation.Take(), isCounted: !s.refusers.Has(pick.Target)}
+	s.refusers = s.refusers.Without(pick.Target)
 	if a.isCounted {
 		s.sendCount++
 	}
--- a/entry/flight/ending.go
+++ b/entry/flight/ending.go
@@ -73,7 +73,7 @@
 	}
 	a.pick.Failed()
 	if !r.misdirected {
-		s.addRefuser(a.pick.Target)
+		s.refusers = s.refusers.With(a.pick.Target)
 	}
 }
 
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -40,25 +40,25 @@
 	request         chain.Forward
 	policy          site.Stream
 	service         string
-	memoryTokens    int                   // capacity of one target in tokens, or 0
-	avoided         atomic.Pointer[names] // targets that failed an attempt; also read by monitors
-	current         *attempt              // attempt whose events the caller gets, or nil
-	next            *attempt              // attempt that may take the place of current, or nil
-	overlap         overlap               // time in which the stream is open at both; the zero value without next
-	silence         guard.Silence         // why next was opened
-	spacing         retry.Spacing         // time to leave between the offers that are refused
-	nextOfferAt     time.Time             // time before which no other target is offered the stream
-	refusers        []site.Target         // targets whose last answer to the stream was a refusal, the latest one last
-	usedAddresses   map[string]bool       // addresses that the request was sent to
-	sendCount       int                   // attempts whose target may have received the request
-	unsentCount     int                   // attempts that did not reach the intended target
-	resumeCount     int                   // times the stream went on at another target after its first event
-	begins          *send.Begins          // targets that were lost when they had begun to answer
-	wentOn          bool                  // whether a target went on after it had begun to answer
-	eventCount      int                   // events delivered to the caller
-	lastEventID     string                // id of the last event that the caller has
-	headSent        atomic.Bool           // whether the caller has the head of the response
-	mayHaveRun      bool                  // whether a target may have run the request
+	memoryTokens    int                         // capacity of one target in tokens, or 0
+	avoided         atomic.Pointer[offer.Names] // targets that failed an attempt; also read by monitors
+	current         *attempt                    // attempt whose events the caller gets, or nil
+	next            *attempt                    // attempt that may take the place of current, or nil
+	overlap         offer.Overlap               // time in which the stream is open at both; the zero value without next
+	silence         guard.Silence               // why next was opened
+	spacing         retry.Spacing               // time to leave between the offers that are refused
+	nextOfferAt     time.Time                   // time before which no other target is offered the stream
+	refusers        offer.Refusers              // targets that may be asked again
+	usedAddresses   map[string]bool             // addresses that the request was sent to
+	sendCount       int                         // attempts whose target may have received the request
+	unsentCount     int                         // attempts that did not reach the intended target
+	resumeCount     int                         // times the stream went on at another target after its first event
+	begins          *send.Begins                // targets that were lost when they had begun to answer
+	wentOn          bool                        // whether a target went on after it had begun to answer
+	eventCount      int                         // events delivered to the caller
+	lastEventID     string                      // id of the last event that the caller has
+	headSent        atomic.Bool                 // whether the caller has the head of the response
+	mayHaveRun      bool                        // whether a target may have run the request
 	reservation     *send.Reservation
 	endedBy         chain.Ending  // what ended the last interrupted attempt, or empty
 	failedResponse  *chain.Passed // a target's error response, passed on if no other attempt succeeds
@@ -108,7 +108,7 @@
 		begins:        send.NewBegins(sender, c, f),
 	}
 	s.reservation = sender.NewReservation(s.service)
-	s.avoided.Store(&names{})
+	s.avoided.Store(&offer.Names{})
 	keepsReplicas, replicaTTL := false, time.Duration(0)
 	if service, ok := c.Site.Service(s.service); ok && service.Engine != nil {
 		s.memoryTokens = service.Engine.CapacityTokens
@@ -152,9 +152,9 @@
 		return s.handleOffer(ctx, step)
 	case report := <-s.current.silences():
 		s.considerMove(ctx, report)
-	case <-s.overlap.check:
-		s.overlap = s.askOfferState(ctx)
-	case state := <-s.overlap.state:
+	case <-s.overlap.Check():
+		s.overlap = s.overlap.WithQuestion(ctx, s.sender, s.next.pick.Target, s.call.ID)
+	case state := <-s.overlap.State():
 		return s.handleOfferState(ctx, state)
 	}
 	return nil, false
@@ -167,7 +167,7 @@
 	if result == nil {
 		return nil, false
 	}
-	s.current, s.next, s.overlap = s.next, nil, overlap{}
+	s.current, s.next, s.overlap = s.next, nil, offer.Overlap{}
 	ended.close()
 	if answer, done := s.settle(ctx, ended, result); done {
 		return answer, true
@@ -239,9 +239,9 @@
 			return nil, nil, false
 		}
 	}
-	avoided := names{}
+	avoided := offer.Names{}
 	if s.current != nil {
-		avoided = avoided.with(s.current.pick.Target.Name)
+		avoided = avoided.With(s.current.pick.Target.Name)
 	}
 	s.avoided.Store(&avoided)
 	return nil, nil, false
--- a/entry/flight/move.go
+++ b/entry/flight/move.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"bramleywharf.example/core/flow"
@@ -20,39 +18,14 @@
 const (
 	// moveCheckInterval is the time between two checks of whether a silent stream can move.
 	moveCheckInterval = 200 * time.Millisecond
-	// overlapCheckDelay is the time after an offer until its target is asked whether it works on the stream, and between
-	// two such questions. Full targets refuse a stream at once, and both targets must not work on it for long.
-	overlapCheckDelay = 250 * time.Millisecond
 	// refusalTimeout is how long after its last event a stream without an attempt is sent to targets that refused it
 	// before; callers give up after 5.6 s, and the target that takes it may have to read the prompt.
 	refusalTimeout = 4 * time.Second
 )
 
-// overlap is the time in which a stream is open at a silent target and at another one. Its values are never changed.
-type overlap struct {
-	check <-chan time.Time        // check fires when the other target is to be asked what it does.
-	state <-chan retry.OfferState // state receives the answer.
-}
-
-// newOverlap returns an overlap whose next question is due after overlapCheckDelay.
-func newOverlap() overlap {
-	return overlap{check: time.After(overlapCheckDelay)}
-}
-
-// names is an immutable set of names of targets.
-type names map[string]bool
-
-// with returns the set with one more name.
-func (n names) with(name string) names {
-	next := make(names, len(n)+1)
-	maps.Copy(next, n)
-	next[name] = true
-	return next
-}
-
 // avoid adds a target to those that are not chosen while there are others.
 func (s *stream) avoid(target site.Target) {
-	avoided := s.avoided.Load().with(target.Name)
+	avoided := s.avoided.Load().With(target.Name)
 	s.avoided.Store(&avoided)
 }
 
@@ -75,7 +48,7 @@
 		s.avoid(s.current.pick.Target)
 		if pick, from, ok := s.nextTarget(ctx); ok {
 			s.next = s.open(ctx, pick, from)
-			s.overlap = newOverlap()
+			s.overlap = offer.NewOverlap()
 			return
 		}
 		s.reservation.Return()
@@ -92,7 +65,7 @@
 	if result == nil {
 		return s.move(ctx)
 	}
-	s.next, s.overlap = nil, overlap{}
+	s.next, s.overlap = nil, offer.Overlap{}
 	refused.close()
 	s.current.pick.Stays()
 	if answer, done := s.settle(ctx, refused, result); done {
@@ -106,16 +79,9 @@
 	return nil, false
 }
 
-// askOfferState asks the target of the offer whether it works on the stream.
-func (s *stream) askOfferState(ctx context.Context) overlap {
-	state, target := make(chan retry.OfferState, 1), s.next.pick.Target
-	go func() { state <- s.sender.OfferState(ctx, target, s.call.ID) }()
-	return overlap{state: state}
-}
-
 // handleOfferState handles what the target of the offer does with the stream. Steps that have arrived say more.
 func (s *stream) handleOfferState(ctx context.Context, state retry.OfferState) (chain.Answer, bool) {
-	s.overlap = newOverlap()
+	s.overlap = offer.NewOverlap()
 	select {
 	case step := <-s.current.steps():
 		return s.handleStep(ctx, step)
@@ -126,7 +92,7 @@
 		return s.handleOffer(ctx, step)
 	default:
 	}
-	switch decided := retry.DecideOverlap(doubtOf(s.silence.Err), state).(type) {
+	switch decided := retry.DecideOverlap(s.silence.Doubt(), state).(type) {
 	case retry.Replace:
 		return s.move(ctx)
 	case retry.Withdraw:
@@ -138,18 +104,6 @@
 	return nil, false
 }
 
-// doubtOf returns the doubt about a target that a monitor's error stands for.
-func doubtOf(err error) retry.Doubt {
-	switch {
-	case errors.Is(err, guard.ErrQueued):
-		return retry.Waits{}
-	case errors.Is(err, guard.ErrStalled):
-		return retry.Stalled{}
-	default:
-		return retry.Lost{}
-	}
-}
-
 // postponeOffer spaces the offers that other targets do not take, and records that the stream stays.
 func (s *stream) postponeOffer(reason string) {
 	s.spacing = s.spacing.WithRefusal()
@@ -160,7 +114,7 @@
 // move closes the silent attempt and puts the next one in its place.
 func (s *stream) move(ctx context.Context) (chain.Answer, bool) {
 	silent := s.current
-	s.current, s.next, s.overlap = s.next, nil, overlap{}
+	s.current, s.next, s.overlap = s.next, nil, offer.Overlap{}
 	silent.close()
 	s.countMove(silent)
 	if silent.received > 0 && errors.Is(s.silence.Err, guard.ErrStalled) {
@@ -198,7 +152,7 @@
 		return
 	}
 	withdrawn := s.next
-	s.next, s.overlap = nil, overlap{}
+	s.next, s.overlap = nil, offer.Overlap{}
 	if r, ok := withdrawn.close().(offer.NotRun); ok {
 		s.uncount(withdrawn, notRun{received: r.Received, misdirected: r.Misdirected})
 	} else {
@@ -245,7 +199,7 @@
 		return true
 	}
 	want := s.want()
-	want.Avoid, want.Room = names{own: true}, s.waits()
+	want.Avoid, want.Room = offer.Names{own: true}, s.waits()
 	return s.sender.Picker.HasSound(want)
 }
 
@@ -259,19 +213,6 @@
 	return s.reservation.Reserve()
 }
 
-// removeRefuser removes a target from those that refused the stream, and reports whether it was one of them.
-func (s *stream) removeRefuser(target site.Target) bool {
-	before := len(s.refusers)
-	s.refusers = slices.DeleteFunc(s.refusers, target.IsSameStart)
-	return len(s.refusers) < before
-}
-
-// addRefuser puts a target behind all others that refused the stream.
-func (s *stream) addRefuser(target site.Target) {
-	s.removeRefuser(target)
-	s.refusers = append(s.refusers, target)
-}
-
 // mayAskRefusers reports whether a stream whose caller has the head may be sent once more to targets that refused it.
 // They have received the request before, so that they do not count against the route's bound again.
 func (s *stream) mayAskRefusers() bool {
--- a/entry/flight/overlap_test.go
+++ b/entry/flight/overlap_test.go
@@ -9,6 +9,7 @@
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/guard"
+	"bramleywharf.example/entry/offer"
 	"bramleywharf.example/entry/picker"
 	"github.com/frankban/quicktest"
 )
@@ -168,10 +169,8 @@
 				b, _ := w.sender.Picker.StreamAt(w.targets[1], s.want())
 				s.current, s.next = s.open(w.c.Context(), a, nil), s.open(w.c.Context(), b, nil)
 				w.waitUntil(func() bool { return len(s.current.steps())+len(s.next.steps()) > 0 })
-				state := make(chan retry.OfferState, 1)
-				state <- test.state
-				s.overlap = overlap{state: state}
-				_, _ = s.await(w.c.Context())
+				s.overlap = offer.NewOverlap()
+				_, _ = s.handleOfferState(w.c.Context(), test.state)
 				hasMoved := s.current != nil && s.current.pick.Target.Name == "b"
 				if hasMoved != test.moves && (!test.moves || s.next == nil) {
 					wrong++
--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleywharf.example/core/flow"
+	"bramleywharf.example/core/retry"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/link"
 	"bramleywharf.example/entry/picker"
@@ -45,6 +46,18 @@
 	Length    time.Duration // Length is how long the silence was when it was first reported for this reason.
 }
 
+// Doubt returns what the silence says of the target.
+func (s Silence) Doubt() retry.Doubt {
+	switch {
+	case errors.Is(s.Err, ErrQueued):
+		return retry.Waits{}
+	case errors.Is(s.Err, ErrStalled):
+		return retry.Stalled{}
+	default:
+		return retry.Lost{}
+	}
+}
+
 // Subject is the attempt of a stream that a monitor watches.
 type Subject struct {
 	Sender       *send.Sender
--- a/entry/picker/choose.go
+++ b/entry/picker/choose.go
@@ -2,13 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
-	"bramleywharf.example/core/health"
 	"bramleywharf.example/core/route"
 	"bramleywharf.example/core/site"
-	"github.com/apex/log"
 )
 
 // Costs of a target are counted in running streams.
@@ -44,16 +43,6 @@
 	sameDomainCost = 1000
 )
 
-// Pick is a chosen target with one request counted on it until Release is called.
-type Pick struct {
-	Target       site.Target
-	targetState  *targetState
-	picker       *Picker
-	promptTokens int
-	isStream     bool
-	session      string // session is set for streams only.
-}
-
 // Want describes the request that needs a target.
 type Want struct {
 	Service string
@@ -142,9 +131,10 @@
 		if !ok {
 			continue
 		}
-		next := candidate{target: target, cost: target.state.cost() + costPerRank*float64(order.Rank(i)) + adjustment, score: order.Score(i)}
+		cost := target.state.cost() + costPerRank*float64(order.Rank(i)) + adjustment
+		next := candidate{target: target, preference: route.Preference{Cost: cost, Score: order.Score(i), Name: target.Name}}
 		for j := range best {
-			if next.precedes(best[j]) {
+			if next.preference.Precedes(best[j].preference) {
 				best[j], next = next, best[j]
 			}
 		}
@@ -188,12 +178,9 @@
 		p.refreshSums()
 	}
 	now := time.Now()
-	for _, target := range p.targetTable.Load().available[want.Service] {
-		if !want.Avoid[target.Name] && !target.state.healthStatus.Load().IsSuspect(now) && target.state.suits(want) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.targetTable.Load().available[want.Service], func(target entry) bool {
+		return !want.Avoid[target.Name] && !target.state.healthStatus.Load().IsSuspect(now) && target.state.suits(want)
+	})
 }
 
 // IsCurrent reports whether a target was not removed, restarted or told to drain since it was chosen.
@@ -250,80 +237,6 @@
 	return &Pick{Target: *target.Target, targetState: target.state, picker: p, promptTokens: promptTokens}
 }
 
-// DomainLostSince reports whether any target in the pick's failure domain was lost after a time, as observed here or
-// reported by a peer.
-func (k *Pick) DomainLostSince(since time.Time) bool {
-	lostAt, ok := k.picker.domainLostAt.Load(k.Target.Domain)
-	return ok && lostAt.(time.Time).After(since)
-}
-
-// Failed records that the target failed the request although it was reachable.
-func (k *Pick) Failed() {
-	k.targetState.updateHealth(func(e health.Estimate) health.Estimate { return e.WithFailure(time.Now()) })
-}
-
-// Gone records that another target answered at the address, so that this one has ended. It returns whether that was
-// not known before.
-func (k *Pick) Gone() bool {
-	wasReplaced := k.targetState.healthStatus.Load().IsReplaced()
-	if !wasReplaced {
-		k.picker.log.WithFields(log.Fields{"target": k.Target.Name, "address": k.Target.Address, "revision": k.Target.Revision}).Warn("another target answers at the address; this one gets no more requests")
-	}
-	k.targetState.updateHealth(health.Estimate.WithReplacement)
-	return !wasReplaced
-}
-
-// Heard records that the target sent something, so that it is no longer suspect.
-func (k *Pick) Heard() {
-	if k.targetState.healthStatus.Load().IsSuspect(time.Now()) {
-		k.targetState.updateHealth(health.Estimate.WithSignOfLife)
-	}
-}
-
-// Latency returns the average latency of the target's complete answers, or 0 when there is none.
-func (k *Pick) Latency() time.Duration {
-	return k.targetState.healthStatus.Load().Latency()
-}
-
-// Lost records that the target was unreachable or stopped sending.
-func (k *Pick) Lost(cause string) {
-	k.picker.targetsLost.Inc()
-	k.picker.domainLostAt.Store(k.Target.Domain, time.Now())
-	wasSuspect := k.targetState.healthStatus.Load().IsSuspect(time.Now())
-	k.targetState.updateHealth(func(e health.Estimate) health.Estimate { return e.WithLoss(time.Now()) })
-	if !wasSuspect {
-		k.picker.log.WithFields(log.Fields{"target": k.Target.Name, "domain": k.Target.Domain, "cause": cause}).Warn("target is suspect")
-	}
-}
-
-// Read records that the target has read the prompt.
-func (k *Pick) Read() {
-	k.targetState.unreadTokens.Add(-int64(k.promptTokens))
-	k.promptTokens = 0
-}
-
-// Release removes the request from the counts of the target.
-func (k *Pick) Release() {
-	k.Read()
-	k.targetState.inFlight.Add(-1)
-	if k.isStream {
-		k.targetState.streams.Add(-1)
-		k.picker.removeStream(k.session, k.Target.Name)
-	}
-}
-
-// Stays records that the target still runs its stream after another pick for the same stream was released.
-func (k *Pick) Stays() {
-	if k.isStream {
-		k.picker.restoreStream(k.session, k.Target.Name)
-	}
-}
-
-// Succeeded records a complete answer.
-func (k *Pick) Succeeded(took time.Duration) {
-	k.targetState.updateHealth(func(e health.Estimate) health.Estimate { return e.WithSuccess(time.Now(), took) })
-}
-
 // cost returns the cost of what all instances run on the target, and of the replicas that it keeps for them.
 func (s *targetState) cost() float64 {
 	remoteLoad := s.remoteLoad.Load()
@@ -354,23 +267,10 @@
 	return float64(promptsHeld*int64(want.Prompt)) <= share*float64(want.Memory)
 }
 
-// candidate is a target with its cost, and with its score in the order of the session for targets of equal cost.
+// candidate is a target with its preference among the targets for a stream.
 type candidate struct {
-	target entry
-	cost   float64
-	score  uint64
-}
-
-// precedes reports whether c costs less than other, or as much and comes first in the order of the session.
-func (c candidate) precedes(other candidate) bool {
-	switch {
-	case c.cost != other.cost:
-		return c.cost < other.cost
-	case c.score != other.score:
-		return c.score > other.score
-	default:
-		return c.target.Name <= other.target.Name
-	}
+	target     entry
+	preference route.Preference
 }
 
 // newSessionOrder orders targets for a session.
--- a/entry/picker/picker_test.go
+++ b/entry/picker/picker_test.go
@@ -302,8 +302,9 @@
 				for i, target := range targets {
 					rank := min(slices.Index(route.Rank(session, names), target.Name), route.RankedTargets)
 					c.Assert(order.Rank(i), quicktest.Equals, rank)
-					if next := (candidate{target: target, cost: 1, score: order.Score(i)}); i == 0 || next.precedes(best) {
-						best = next
+					preference := route.Preference{Cost: 1, Score: order.Score(i), Name: target.Name}
+					if i == 0 || preference.Precedes(best.preference) {
+						best = candidate{target: target, preference: preference}
 					}
 				}
 				if size > 0 {
