pass: open attempts of a request go on until one has the answer

Cause: the attempt there was given up 250 ms after the request was sent to a second target, or at once when it was sent to a third, although those had neither answered nor refused it. Class: what is in hand is given up before its replacement is certain. Change: all attempts of a request stay open until one has a whole answer, the deadline passes or the caller leaves; a signed 5xx is still kept as the last resort. A target's failure is told to the picker once for each attempt; before, it could count twice. Requests that run at most once still have one attempt open. Why it works: an attempt is now ended only by its own target or by close, which is called with an answer in hand or when the request's time or caller is gone. Ruled out: a longer overlap (any bound loses to a target that fails later), and two open attempts only (the third would again end the first).

Work done twice: at most max_attempts sends of a request that reach a target, each repeat within the bound on retries, all ended with the answer, the deadline or the caller. Two bounds held only while no attempt was open and hold now beside a slow one: on targets lost as they begin to answer, and on targets that are not reached.

--- a/entry/pass/attempt.go
+++ b/entry/pass/attempt.go
@@ -11,9 +11,6 @@
 	"github.com/pkg/errors"
 )
 
-// errSlow ends an attempt that was given up for one at another target.
-var errSlow = errors.New("no answer in time; another target has the request")
-
 // outcome is the sealed set of results of one attempt: answered, notRun, notSent and unconfirmed.
 type outcome interface {
 	isOutcome()
@@ -50,24 +47,30 @@
 	pick     *picker.Pick
 	isRepeat bool // whether a retry was counted for the attempt
 	reported bool // whether the picker knows that the target failed the request
-	cancel   context.CancelCauseFunc
-	done     chan outcome // receives the outcome
+	cancel   context.CancelFunc
+}
+
+// completion is an attempt that has ended, with its outcome.
+type completion struct {
+	attempt *attempt
+	outcome outcome
 }
 
-// newAttempt returns an attempt, and the function that sends its message and waits for the outcome.
-func newAttempt(ctx context.Context, s *send.Sender, call chain.Call, pick *picker.Pick, message link.Request) (a *attempt, exchange func()) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	a = &attempt{pick: pick, cancel: cancel, done: make(chan outcome, 1)}
+// newAttempt returns an attempt, and the function that sends its message and passes its outcome to
+// completions.
+func newAttempt(ctx context.Context, s *send.Sender, call chain.Call, pick *picker.Pick, message link.Request, completions chan<- completion) (a *attempt, exchange func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	a = &attempt{pick: pick, cancel: cancel}
 	s.Counts.Sends.Inc()
-	return a, func() { a.done <- a.exchange(ctx, s, call, message) }
+	return a, func() { completions <- completion{attempt: a, outcome: a.exchange(ctx, s, call, message)} }
 }
 
-// outcomes returns the channel that receives the attempt's outcome, or nil for no attempt.
-func (a *attempt) outcomes() <-chan outcome {
-	if a == nil {
-		return nil
+// reportFailure tells the picker once that the target failed the request.
+func (a *attempt) reportFailure() {
+	if !a.reported {
+		a.pick.Failed()
+		a.reported = true
 	}
-	return a.done
 }
 
 // exchange sends the message and returns the outcome.
@@ -81,9 +84,6 @@
 		}
 		return notSent{err: err}
 	}
-	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errSlow) {
-		return unconfirmed{err: cause}
-	}
 	if err != nil {
 		return unconfirmed{err: err}
 	}
--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"bramleywharf.example/core/deny"
@@ -25,31 +26,28 @@
 	// the slowest answers of healthy targets take about 110 ms.
 	minAttemptTimeout    = 150 * time.Millisecond
 	attemptTimeoutFactor = 8 // attemptTimeoutFactor is the wait for an answer in multiples of the target's mean latency.
-	// overlapTimeout is how long a slow attempt stays open after the request was sent to another target; full targets
-	// refuse a request at once.
-	overlapTimeout = 250 * time.Millisecond
 	// moveCheckInterval is the time between two checks of whether a slow request can be sent to another target.
 	moveCheckInterval = 100 * time.Millisecond
 )
 
 // unaryCall is a request with a single response, as opposed to a stream.
 type unaryCall struct {
-	sender          *send.Sender
-	call            chain.Call
-	request         chain.Forward
-	idempotent      bool
-	service         string
-	avoidedTargets  map[string]bool  // names of the targets that were tried
-	slowTargets     []string         // names of those to which no connection was established in time
-	sendCount       int              // attempts whose target may have received the request
-	unsentCount     int              // attempts that did not reach the intended target
-	current, former *attempt         // the newest open attempt, and the one before it while that is still open
-	patience        <-chan time.Time // fires when another target may be tried; nil if none may
-	overlap         <-chan time.Time // fires when the former attempt is given up; nil without one
-	begins          *send.Begins     // targets that were lost when they had begun to answer
-	reservation     *send.Reservation
-	mayHaveRun      bool          // whether a target may have run the request without a valid answer
-	failedResponse  *chain.Passed // a target's error response, passed on if no other attempt succeeds
+	sender         *send.Sender
+	call           chain.Call
+	request        chain.Forward
+	idempotent     bool
+	service        string
+	avoidedTargets map[string]bool  // names of the targets that were tried
+	slowTargets    []string         // names of those to which no connection was established in time
+	sendCount      int              // attempts whose target may have received the request
+	unsentCount    int              // attempts that did not reach the intended target
+	open           []*attempt       // the attempts that have not ended, the newest last
+	completions    chan completion  // receives each attempt as it ends
+	patience       <-chan time.Time // fires when another target may be tried; nil if none may
+	begins         *send.Begins     // targets that were lost when they had begun to answer
+	reservation    *send.Reservation
+	mayHaveRun     bool          // whether a target may have run the request without a valid answer
+	failedResponse *chain.Passed // a target's error response, passed on if no other attempt succeeds
 }
 
 // newUnaryCall returns a call whose request has not been sent.
@@ -63,6 +61,7 @@
 		service:        service,
 		reservation:    s.NewReservation(service),
 		avoidedTargets: make(map[string]bool),
+		completions:    make(chan completion, 1),
 		begins:         send.NewBegins(s, c, f),
 	}
 }
@@ -75,7 +74,7 @@
 		pick, ok := u.sender.Picker.Plain(picker.Want{Service: u.service, Avoid: u.avoidedTargets})
 		blocked := u.begins.Blocked()
 		switch {
-		case ok && blocked && u.current == nil:
+		case ok && blocked && len(u.open) == 0:
 			pick.Release()
 			return u.finalAnswer(send.BlockedReason)
 		case ok && blocked:
@@ -83,9 +82,9 @@
 			u.patience = nil
 		case ok:
 			u.start(ctx, pick)
-		case u.current == nil && u.allowSlowTargets():
+		case len(u.open) == 0 && u.allowSlowTargets():
 			continue
-		case u.current == nil:
+		case len(u.open) == 0:
 			return u.finalAnswer("no target of the service is left")
 		default:
 			u.patience = time.After(moveCheckInterval)
@@ -107,63 +106,45 @@
 	return len(slow) > 0
 }
 
-// start sends the request to a target. An attempt that is still open stays so for overlapTimeout, in which the new
-// target can refuse the request.
+// start sends the request to a target, beside the attempts that are open.
 func (u *unaryCall) start(ctx context.Context, pick *picker.Pick) {
 	u.avoidedTargets[pick.Target.Name] = true
-	if u.former != nil {
-		u.former.cancel(errSlow)
-		u.settle(ctx, u.former, <-u.former.done)
-	}
 	left := send.Left(u.call, u.request)
 	message := u.sender.Outgoing(send.Send{Call: u.call, Target: pick.Target, Left: left}, u.request, !u.idempotent)
-	next, exchange := newAttempt(ctx, u.sender, u.call, pick, message)
-	next.isRepeat = u.reservation.Take()
-	u.former, u.current = u.current, next
-	u.patience, u.overlap = nil, nil
-	if u.former == nil && !u.MayRetry() {
+	a, exchange := newAttempt(ctx, u.sender, u.call, pick, message, u.completions)
+	a.isRepeat = u.reservation.Take()
+	u.open = append(u.open, a)
+	u.patience = nil
+	if len(u.open) == 1 && !u.MayRetry() {
 		exchange()
 		return
 	}
 	go exchange()
-	if u.former != nil {
-		u.overlap = time.After(overlapTimeout)
-	}
 	if timeout := u.attemptTimeout(pick); u.MayRetry() && timeout < left {
 		u.patience = time.After(timeout)
 	}
 }
 
 // await waits for the answer. It returns nil and false if the request may go to another target; the open attempts go
-// on meanwhile.
+// on meanwhile, until one of them has the answer.
 func (u *unaryCall) await(ctx context.Context) (chain.Answer, bool) {
 	for {
 		select {
-		case result := <-u.former.outcomes():
-			ended := u.former
-			u.former = nil
-			if answer, done := u.handleOutcome(ctx, ended, result); done {
+		case ended := <-u.completions:
+			wasNewest := ended.attempt == u.newest()
+			u.open = slices.DeleteFunc(u.open, func(a *attempt) bool { return a == ended.attempt })
+			if answer, done := u.handleOutcome(ctx, ended.attempt, ended.outcome); done {
 				return answer, true
 			}
-		case result := <-u.current.outcomes():
-			ended := u.current
-			u.current, u.former = u.former, nil
-			u.overlap = nil
-			if answer, done := u.handleOutcome(ctx, ended, result); done {
-				return answer, true
+			if len(u.open) == 0 {
+				return u.retryOrFinish(ctx, ended.outcome)
 			}
-			if u.current == nil {
-				return u.retryOrFinish(ctx, result)
-			}
-			u.patience = time.After(0) // The other attempt was slow before, so that a third target may be tried at once.
-		case <-u.overlap:
-			if u.former != nil {
-				u.former.cancel(errSlow)
+			if wasNewest {
+				u.patience = time.After(0) // The other attempts were slow before, so that another target may be tried at once.
 			}
 		case <-u.patience:
-			if _, ok := retry.Decide(u).(retry.Move); ok {
-				u.current.pick.Failed()
-				u.current.reported = true
+			if u.mayMove(ctx) {
+				u.newest().reportFailure()
 				return nil, false
 			}
 			u.patience = time.After(moveCheckInterval)
@@ -171,12 +152,26 @@
 	}
 }
 
+// mayMove reports whether a slow request goes to another target, and reserves a retry for it if so.
+func (u *unaryCall) mayMove(ctx context.Context) bool {
+	if !u.MayRetry() || u.begins.Exhausted(ctx) {
+		return false
+	}
+	_, ok := retry.Decide(u).(retry.Move)
+	return ok
+}
+
+// newest returns the newest open attempt.
+func (u *unaryCall) newest() *attempt {
+	return u.open[len(u.open)-1]
+}
+
 // handleOutcome records the result of an attempt. It returns the answer to the caller and true, or nil and false if
 // the result is no answer yet.
 func (u *unaryCall) handleOutcome(ctx context.Context, a *attempt, result outcome) (chain.Answer, bool) {
 	u.settle(ctx, a, result)
 	if r, ok := result.(answered); ok && (!r.response.Failed() || !u.idempotent) {
-		r.response.Sends = u.sendCount + u.unsentCount + u.openCount()
+		r.response.Sends = u.sendCount + u.unsentCount + len(u.open)
 		return r.response, true
 	}
 	if ctx.Err() != nil {
@@ -188,7 +183,7 @@
 
 // settle counts an attempt that has ended, and records its failure unless the caller has left.
 func (u *unaryCall) settle(ctx context.Context, a *attempt, result outcome) {
-	a.cancel(nil)
+	a.cancel()
 	a.pick.Release()
 	switch r := result.(type) {
 	case notSent:
@@ -221,35 +216,23 @@
 
 // close ends the open attempts and gives back a retry that was not used.
 func (u *unaryCall) close() {
-	for _, a := range []*attempt{u.former, u.current} {
-		if a == nil {
-			continue
-		}
-		a.cancel(nil)
-		if _, ok := (<-a.done).(unconfirmed); ok {
+	for _, a := range u.open {
+		a.cancel()
+	}
+	for range u.open {
+		ended := <-u.completions
+		if _, ok := ended.outcome.(unconfirmed); ok {
 			u.mayHaveRun = true
 		}
-		a.pick.Release()
+		ended.attempt.pick.Release()
 	}
-	u.former, u.current = nil, nil
+	u.open = nil
 	u.reservation.Return()
 }
 
-// openCount returns the number of open attempts.
-func (u *unaryCall) openCount() int {
-	count := 0
-	if u.former != nil {
-		count++
-	}
-	if u.current != nil {
-		count++
-	}
-	return count
-}
-
 // MayRetry reports whether the request may be sent to one more target while the open attempts go on.
 func (u *unaryCall) MayRetry() bool {
-	return u.idempotent && u.sendCount+u.openCount() < u.call.Route.MaxAttempts
+	return u.idempotent && u.sendCount+len(u.open) < u.call.Route.MaxAttempts && u.unsentCount < maxUnsent
 }
 
 // HasAlternative reports whether a target that was not tried can take the request.
@@ -332,9 +315,7 @@
 	case notSent:
 		u.sender.Log.WithFields(fields).WithError(r.err).Info("target did not get the request")
 	case unconfirmed:
-		if !a.reported {
-			a.pick.Failed()
-		}
+		a.reportFailure()
 		if errors.Is(r.err, link.ErrBroken) {
 			u.begins.BrokenOff(ctx, a.pick.Target)
 		}
