relay: an attempt in hand is kept until another one sends its first token

What callers saw: on the own interface a generation whose engine fell silent for a second was cancelled there while its rival still queued, and began again, or waited for the rival, though the engine would have gone on. Cause: with two attempts the first one to be suspect again was treated as dead, as was an engine that left one probe without an answer in 300 ms, one that answered four probes without a token, and any stream that broke while two ran. Class: what is in hand is given up before its replacement is certain.

Why the fix works: silence no longer counts as a loss. Two new signals, Unanswered and Stalled, lead to a race, in `thrift` as well, and while two run a silence leads to a probe. An attempt ends when another one delivers, when its engine refuses connections or has forgotten it, or after 10 s without a token (the bound of a lone one until now). A refused or failed rival is replaced at once, a rival that answers no probe only if another target can take its place. Losses that were counted stay counted: a loser that answered no probe or used up its probes counts when it is superseded. Found with it, of the same class or made more likely by longer races: - a generation whose prompt is not held was refused at the first silence; now after 2 s - a continuation of a resumed generation could begin with tokens from its middle, after the first engine had won a race - a rival ran on after the caller left or another run took over - a start that waits for a target is dropped once the attempt in hand sends Ruled out: three attempts at once (more work done twice); a longer silence before the second suspicion (a rival may queue for any time).

--- a/core/flow/policy.go
+++ b/core/flow/policy.go
@@ -12,7 +12,8 @@
 // Latency continues on another engine as soon as one is suspect, and lets it race the old stream.
 type Latency struct{}
 
-// Thrift probes a suspect engine first and continues on another only if the probe shows that the work is lost.
+// Thrift probes a suspect engine first and continues on another only if the probe shows that the work is lost, or lets
+// it race the old stream if probes do not help.
 type Thrift struct{}
 
 // Restart generates the whole answer again after any failure; it is the baseline for comparing the others.
@@ -36,7 +37,8 @@
 	}
 }
 
-// Signal is the sealed set of observations of a running attempt: Severed, Silent, Alive, Dead and Forgotten.
+// Signal is the sealed set of observations of a running attempt: Severed, Silent, Alive, Unanswered, Stalled, Dead and
+// Forgotten.
 type Signal interface {
 	isSignal()
 }
@@ -50,17 +52,25 @@
 // Alive means that a probe over a new connection found the engine running the attempt.
 type Alive struct{}
 
-// Dead means that a probe over a new connection got no answer.
+// Unanswered means that a probe over a new connection got no answer in time; a sound engine may pause that long.
+type Unanswered struct{}
+
+// Stalled means that probes keep finding the attempt running, but it sends no token.
+type Stalled struct{}
+
+// Dead means that the engine refuses connections, or that the attempt is not worth waiting for.
 type Dead struct{}
 
 // Forgotten means that the engine answered but does not know the attempt.
 type Forgotten struct{}
 
-func (Severed) isSignal()   {}
-func (Silent) isSignal()    {}
-func (Alive) isSignal()     {}
-func (Dead) isSignal()      {}
-func (Forgotten) isSignal() {}
+func (Severed) isSignal()    {}
+func (Silent) isSignal()     {}
+func (Alive) isSignal()      {}
+func (Unanswered) isSignal() {}
+func (Stalled) isSignal()    {}
+func (Dead) isSignal()       {}
+func (Forgotten) isSignal()  {}
 
 // Step is the sealed set of recovery steps: Probe, Attach, Race, Continue, Regenerate, Wait and Abandon.
 type Step interface {
@@ -98,8 +108,13 @@
 
 // Decide returns the next step after a signal, given how many engines the request has lost before.
 func Decide(p Policy, s Signal, lostEngines int) Step {
-	if isLoss(s) && lostEngines >= MaxLostEngines {
-		return Abandon{}
+	if lostEngines >= MaxLostEngines {
+		switch {
+		case isLoss(s):
+			return Abandon{}
+		case isDoubt(s):
+			return decideLastDoubt(p)
+		}
 	}
 	switch p.(type) {
 	case Restart:
@@ -121,10 +136,30 @@
 	}
 }
 
+// isDoubt reports whether a signal leaves open if the engine's work is lost.
+func isDoubt(s Signal) bool {
+	switch s.(type) {
+	case Unanswered, Stalled:
+		return true
+	default:
+		return false
+	}
+}
+
+// decideLastDoubt keeps an attempt in doubt whose loss would be one too many.
+func decideLastDoubt(p Policy) Step {
+	switch p.(type) {
+	case Restart:
+		return Abandon{}
+	default:
+		return Wait{}
+	}
+}
+
 // decideLatency spends additional engine work to shorten the interruption.
 func decideLatency(s Signal) Step {
 	switch s.(type) {
-	case Severed, Silent:
+	case Severed, Silent, Unanswered, Stalled:
 		return Race{}
 	case Alive:
 		return Attach{}
@@ -150,6 +185,8 @@
 		return Probe{}
 	case Alive:
 		return Attach{}
+	case Unanswered, Stalled:
+		return Race{}
 	default:
 		return Continue{}
 	}
--- a/entry/internal/relay/attempt.go
+++ b/entry/internal/relay/attempt.go
@@ -15,8 +15,9 @@
 const (
 	maxProbes           = 4  // maxProbes applies once a token of the attempt was delivered.
 	maxFirstTokenProbes = 60 // maxFirstTokenProbes applies before that, as the request may wait in the engine's queue.
-	// maxLoneSilence replaces both while no other target can take the generation.
-	maxLoneSilence = 10 * time.Second
+	// maxSilence is the time without a token after which such an attempt is given up although no other one has sent a
+	// token.
+	maxSilence = 10 * time.Second
 )
 
 // attempt is one execution of the generation on an engine, as seen by the goroutine that runs loop.
@@ -29,6 +30,8 @@
 	lastActivity  time.Time // lastActivity is the time of the last token, new reader or probe.
 	hasDelivered  bool      // hasDelivered tells whether a token of this attempt was delivered to the caller.
 	probes        int       // probes counts probes and races since the last delivered token.
+	isProbed      bool      // isProbed tells whether a probe is on its way.
+	muteProbes    int       // muteProbes counts the last probes in a row that got no answer.
 	readerID      int       // readerID is the current reader; events of earlier readers are ignored.
 	stopReader    context.CancelFunc
 	releaseTarget func()
@@ -51,10 +54,10 @@
 	err      error
 }
 
-// probeResult carries the error of a probe, or nil.
+// probeResult carries what a probe found.
 type probeResult struct {
 	attempt int
-	err     error
+	signal  flow.Signal
 }
 
 func (streamEvent) isEvent()  {}
@@ -88,6 +91,10 @@
 
 // startProbe probes an attempt over a new connection in a goroutine and sends the result to the loop.
 func (g *generation) startProbe(a *attempt) {
+	if a.isProbed {
+		return
+	}
+	a.isProbed = true
 	a.probes++
 	a.lastActivity = time.Now()
 	number, address, id := a.number, a.target.Address, a.id
@@ -95,7 +102,7 @@
 		ctx, cancel := context.WithTimeout(g.runCtx, probeTimeout)
 		defer cancel()
 		err := g.relay.engines.Probe(ctx, address, id)
-		g.sendEvent(g.runCtx, probeResult{attempt: number, err: err})
+		g.sendEvent(g.runCtx, probeResult{attempt: number, signal: probeSignal(ctx, err)})
 	})
 }
 
@@ -107,12 +114,12 @@
 	return gaps.Timeout()
 }
 
-// hasExhaustedProbes tells whether the attempt was probed so often without a token that it is treated as dead.
+// hasExhaustedProbes tells whether the attempt was probed so often without a token that it has probably hung.
 func (a *attempt) hasExhaustedProbes() bool {
 	if a.hasDelivered {
 		return a.probes >= maxProbes
 	}
-	return a.probes >= maxFirstTokenProbes
+	return a.probes >= maxFirstTokenProbes || a.muteProbes >= maxProbes
 }
 
 // sendEvent sends an event to the loop unless the context ends first.
@@ -123,13 +130,15 @@
 	}
 }
 
-// probeSignal returns the signal that a probe's error stands for.
-func probeSignal(err error) flow.Signal {
+// probeSignal returns the signal that the error of a probe with a context stands for.
+func probeSignal(ctx context.Context, err error) flow.Signal {
 	switch {
 	case err == nil:
 		return flow.Alive{}
 	case errors.Is(err, engine.ErrForgotten):
 		return flow.Forgotten{}
+	case ctx.Err() != nil:
+		return flow.Unanswered{}
 	default:
 		return flow.Dead{}
 	}
--- a/entry/internal/relay/recover.go
+++ b/entry/internal/relay/recover.go
@@ -102,6 +102,9 @@
 // from the known tokens.
 func (g *generation) startAttempt(regenerate bool) {
 	if g.lineage.Offset() > 0 && !g.job.Prompt {
+		if len(g.attempts) > 0 && time.Since(g.lastDelivery) < pickTimeout {
+			return
+		}
 		g.refuse(deny.KindLost, true, "generation %s cannot be continued: its prompt is no longer held; send the request again with Last-Event-ID", g.job.Spec.ID)
 		return
 	}
@@ -172,24 +175,29 @@
 	if a == nil || time.Now().Before(dueAt) || len(g.events) > 0 {
 		return
 	}
-	if len(g.attempts) > 1 || a.hasExhaustedProbes() && (g.hasAlternative(a) || time.Since(g.lastDelivery) > maxLoneSilence) {
+	switch {
+	case a.hasExhaustedProbes() && time.Since(g.lastDelivery) > maxSilence:
 		g.failAttempt(a, flow.Dead{})
-		return
-	}
-	if !a.hasDelivered {
+	case len(g.attempts) > 1:
 		g.startProbe(a)
-		return
+	case a.hasExhaustedProbes() && g.hasAlternative():
+		g.handleSignal(a, flow.Stalled{})
+	case !a.hasDelivered:
+		g.startProbe(a)
+	default:
+		g.handleSignal(a, flow.Silent{})
 	}
-	g.handleSignal(a, flow.Silent{})
 }
 
-// hasAlternative reports whether a target other than the attempt's can take the generation after its loss.
-func (g *generation) hasAlternative(a *attempt) bool {
+// hasAlternative reports whether a target without an attempt can take the generation.
+func (g *generation) hasAlternative() bool {
 	if _, abandons := flow.Decide(g.job.Policy, flow.Dead{}, g.lostEngines).(flow.Abandon); abandons {
 		return false
 	}
 	avoided := maps.Clone(g.avoidedTargets)
-	avoided[a.target.Name] = true
+	for _, a := range g.attempts {
+		avoided[a.target.Name] = true
+	}
 	_, ok := g.relay.picker.Pick(g.job.Spec, avoided)
 	return ok
 }
@@ -203,14 +211,7 @@
 		g.recovering = g.recovering || a.hasDelivered
 		g.startProbe(a)
 	case flow.Race:
-		g.recovering = true
-		g.avoidedTargets[a.target.Name] = true
-		g.relay.picker.Suspect(a.target.Name)
-		g.startAttempt(false)
-		if g.answer == nil {
-			a.probes++
-			g.attach(a, a.next)
-		}
+		g.race(a, s)
 	case flow.Wait:
 		a.lastActivity = time.Now()
 	default:
@@ -218,19 +219,56 @@
 	}
 }
 
+// race starts a rival of an attempt and attaches to the attempt again. If two are running already, a rival that causes
+// the signal is replaced once another target can take its place.
+func (g *generation) race(a *attempt, s flow.Signal) {
+	if len(g.attempts) > 1 {
+		if g.isRival(a) && g.hasAlternative() { // hasAlternative includes the bound on lost engines.
+			g.failOver(a, s, flow.Continue{})
+		}
+		return
+	}
+	// So many losses are only possible if rivals of the attempt were lost, which would have ended a lone one.
+	if g.lostEngines > flow.MaxLostEngines {
+		g.startProbe(a)
+		return
+	}
+	g.recovering = true
+	g.avoidedTargets[a.target.Name] = true
+	g.relay.picker.Suspect(a.target.Name)
+	g.startAttempt(false)
+	if g.answer == nil {
+		a.probes++
+		g.attach(a, a.next)
+	}
+}
+
+// isRival reports whether an attempt races an earlier one that still runs.
+func (g *generation) isRival(a *attempt) bool {
+	return a.number != g.lineage.CurrentAttempt()
+}
+
 // failAttempt discards an attempt and, if it was the last, takes the recovery step for the signal.
 func (g *generation) failAttempt(a *attempt, s flow.Signal) {
 	g.failOver(a, s, flow.Decide(g.job.Policy, s, g.lostEngines))
 }
 
-// failOver discards an attempt and avoids its target. It takes the step only if no other attempt is running or pending.
+// failOver discards an attempt and avoids its target. It takes the step if no other attempt is running or pending, and
+// replaces a rival unless too many engines are lost.
 func (g *generation) failOver(a *attempt, s flow.Signal, step flow.Step) {
+	wasRival := g.isRival(a)
 	g.lostEngines++
 	g.recovering = g.recovering || g.lineage.Offset() > 0
 	g.avoidedTargets[a.target.Name] = true
 	g.relay.picker.Suspect(a.target.Name)
 	g.discard(a)
-	if len(g.attempts) > 0 || g.pendingStart != nil {
+	if len(g.attempts) > 0 {
+		if _, abandons := step.(flow.Abandon); wasRival && !abandons {
+			g.startAttempt(false)
+		}
+		return
+	}
+	if g.pendingStart != nil {
 		return
 	}
 	g.relay.stats.generationsContinued.Inc()
@@ -249,22 +287,34 @@
 func (g *generation) handleReaderError(a *attempt, err error) {
 	switch {
 	case errors.Is(err, engine.ErrRefused):
+		wasRival := g.isRival(a)
 		g.avoidedTargets[a.target.Name] = true
 		g.remove(a)
-		if len(g.attempts) == 0 && g.pendingStart == nil {
+		if (len(g.attempts) == 0 || wasRival) && g.pendingStart == nil {
 			g.startAttempt(false)
 		}
 	case errors.Is(err, engine.ErrForgotten):
 		g.failAttempt(a, flow.Forgotten{})
 	case errors.Is(err, engine.ErrRange):
 		g.failAttempt(a, flow.Forgotten{})
-	case len(g.attempts) > 1 || a.hasExhaustedProbes():
-		g.failAttempt(a, flow.Dead{})
+	case a.hasExhaustedProbes():
+		a.lastActivity = time.Now() // The next probe follows after a silence.
+	case len(g.attempts) > 1:
+		g.startProbe(a)
 	default:
 		g.handleSignal(a, flow.Severed{})
 	}
 }
 
+// discardRival discards the rival, if any, of a generation that may go on in another run. No event id names a rival.
+func (g *generation) discardRival() {
+	for _, a := range g.attempts {
+		if g.isRival(a) {
+			g.discard(a)
+		}
+	}
+}
+
 // discardOthers discards every attempt but the one that completed the answer.
 func (g *generation) discardOthers(winner *attempt) {
 	for _, a := range g.attempts {
--- a/entry/internal/relay/rival_test.go
+++ b/entry/internal/relay/rival_test.go
@@ -26,6 +26,7 @@
 	silence time.Duration
 	breaks  bool // breaks closes the first stream when the silence begins.
 	frozen  bool // frozen leaves probes without an answer during the silence.
+	dies    int  // dies, unless 0, is the offset at which the generation is lost.
 }
 
 // queues sends nothing and answers probes.
@@ -49,6 +50,7 @@
 type target struct {
 	manner   manner
 	starts   int
+	forced   int // forced is the number of tokens that the last start was given.
 	cancels  int
 	running  map[string]bool // running holds the ids of attempts that were neither cancelled nor ended.
 	goesOnAt time.Time       // goesOnAt is the end of the silence of a target that halts.
@@ -92,6 +94,7 @@
 	r.mu.Lock()
 	t := r.targets[address]
 	t.starts++
+	t.forced = len(q.Forced)
 	t.running[q.ID] = true
 	first := t.starts == 1
 	r.mu.Unlock()
@@ -159,7 +162,7 @@
 func (r *rivalEngines) stream(ctx context.Context, t *target, id string, from int, first bool, emit func(engine.Event)) error {
 	switch m := t.manner.(type) {
 	case halts:
-		return r.halt(ctx, t, m, from, first, emit)
+		return r.halt(ctx, t, id, m, from, first, emit)
 	case fails:
 		select {
 		case <-time.After(m.after):
@@ -177,7 +180,7 @@
 }
 
 // halt emits the tokens from an offset on and is silent once.
-func (r *rivalEngines) halt(ctx context.Context, t *target, m halts, from int, first bool, emit func(engine.Event)) error {
+func (r *rivalEngines) halt(ctx context.Context, t *target, id string, m halts, from int, first bool, emit func(engine.Event)) error {
 	for offset := from; offset < haltedTokens; offset++ {
 		if offset == m.offset {
 			r.mu.Lock()
@@ -195,6 +198,12 @@
 				return ctx.Err()
 			}
 		}
+		if m.dies > 0 && offset == m.dies {
+			r.mu.Lock()
+			delete(t.running, id)
+			r.mu.Unlock()
+			return engine.ErrSevered
+		}
 		emit(engine.Token{Token: flow.Token{Offset: offset, Text: "word "}})
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -202,8 +211,7 @@
 	return nil
 }
 
-// TestSilentEngineIsKeptUntilRivalSends checks that a generation goes on with an engine that was silent for a second
-// while its rival sent no token.
+// TestSilentEngineIsKeptUntilRivalSends checks that an engine silent for a second goes on if its rival sent no token.
 func TestSilentEngineIsKeptUntilRivalSends(t *testing.T) {
 	policies := map[string]flow.Policy{"latency": flow.Latency{}, "thrift": flow.Thrift{}}
 	moments := map[string]struct {
--- a/entry/internal/relay/run.go
+++ b/entry/internal/relay/run.go
@@ -104,6 +104,9 @@
 // deliver sends a token to the caller and records it in the journal.
 func (g *generation) deliver(a *attempt, t flow.Token) {
 	receivedAt := time.Now()
+	if g.textsOffset+len(g.texts) != t.Offset {
+		g.textsOffset, g.texts, g.textsHash = t.Offset, nil, 0
+	}
 	g.texts = append(g.texts, t.Text)
 	g.textsHash = flow.NextHash(g.textsHash, t.Text)
 	g.cursor = g.cursor.WithProgress(a.target.Name, a.runID, a.number, g.lineage.Offset(), g.lineage.Hash())
@@ -136,7 +139,7 @@
 		g.gaps = g.gaps.WithGap(gap)
 	}
 	a.hasDelivered = true
-	a.probes = 0
+	a.probes, a.muteProbes = 0, 0
 }
 
 // finish sets the answer, which ends the loop, unless one is already set.
@@ -161,9 +164,26 @@
 		}
 	case probeResult:
 		if a, ok := g.attempts[e.attempt]; ok {
-			g.handleSignal(a, probeSignal(e.err))
+			g.handleProbeResult(a, e.signal)
+		}
+	}
+}
+
+// handleProbeResult handles what a probe found, unless a token of the attempt has shown more since.
+func (g *generation) handleProbeResult(a *attempt, s flow.Signal) {
+	a.isProbed = false
+	switch s.(type) {
+	case flow.Alive, flow.Unanswered:
+		if a.probes == 0 {
+			return
 		}
 	}
+	if _, isMute := s.(flow.Unanswered); isMute {
+		a.muteProbes++
+	} else {
+		a.muteProbes = 0
+	}
+	g.handleSignal(a, s)
 }
 
 // attemptByReader returns the attempt whose current reader has the id, or nil.
@@ -176,8 +196,9 @@
 	return nil
 }
 
-// handleCallerGone ends this run. The engines continue for a while, so that the caller can resume the generation.
+// handleCallerGone ends this run. The engine continues for a while, so that the caller can resume the generation.
 func (g *generation) handleCallerGone() {
+	g.discardRival()
 	for _, a := range g.attempts {
 		g.journalEntry.Abandon(a.target.Name, a.id)
 	}
@@ -204,6 +225,7 @@
 		case <-heartbeat.C:
 			g.heartbeat()
 		case <-g.journalEntry.Taken():
+			g.discardRival()
 			g.finish(chain.Left{})
 		case <-ctx.Done():
 			g.handleCallerGone()
@@ -252,7 +274,14 @@
 	var first *attempt
 	var earliest time.Time
 	for _, a := range g.attempts {
-		suspectAt := a.lastActivity.Add(a.silenceTimeout(g.gaps))
+		if a.isProbed {
+			continue
+		}
+		timeout := a.silenceTimeout(g.gaps)
+		if len(g.attempts) > 1 && a.hasExhaustedProbes() {
+			timeout = max(timeout, flow.MaxTokenTimeout)
+		}
+		suspectAt := a.lastActivity.Add(timeout)
 		if first == nil || suspectAt.Before(earliest) {
 			first, earliest = a, suspectAt
 		}
@@ -300,7 +329,11 @@
 	switch v := verdict.(type) {
 	case flow.Deliver:
 		g.lineage = next
+		g.pendingStart = nil
 		if loser, ok := g.attempts[v.Superseded]; ok {
+			if loser.muteProbes > 0 || loser.hasExhaustedProbes() {
+				g.lostEngines++
+			}
 			g.discard(loser)
 		}
 		g.deliver(a, t)
@@ -322,6 +355,9 @@
 		}
 		return
 	}
+	if index > len(g.texts) {
+		return // A continuation that begins at offset 0 has replaced the known texts.
+	}
 	g.texts = append(g.texts, t.Text)
 	g.textsHash = flow.NextHash(g.textsHash, t.Text)
 	g.journalEntry.Note(newProgress(a, t))
