flight: a stream whose first event comes as its route's timeout passes is whole or answered 504

Cause: the timer asked whether the head had been sent and then ended the stream, while the first event had come and its head was on the way to the caller: a check and an act on it with no order between the two. The stream was ended, and its caller's connection was cut as of one who has left. Change: offer.Head lets either the first event or the timeout win, by one compare-and-swap. Ruled out: to stop the timer at the first event, since it may have fired already.

--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -16,8 +16,8 @@
 	"github.com/pkg/errors"
 )
 
-// outcome is the sealed set of ways in which an attempt ends: completed, wholeResponse, notRun, interrupted and
-// callerGone.
+// outcome is the sealed set of ways in which an attempt ends: completed, wholeResponse, notRun, interrupted,
+// expired and callerGone.
 type outcome interface {
 	isOutcome()
 }
@@ -44,6 +44,9 @@
 	atBegin bool // the target broke off its answer after at most one whole event, and no target had sent more
 }
 
+// expired means that the route's timeout has passed before the first event.
+type expired struct{}
+
 // callerGone means that the caller no longer takes events.
 type callerGone struct{}
 
@@ -51,6 +54,7 @@
 func (wholeResponse) isOutcome() {}
 func (notRun) isOutcome()        {}
 func (interrupted) isOutcome()   {}
+func (expired) isOutcome()       {}
 func (callerGone) isOutcome()    {}
 
 // attempt runs a stream at one target.
@@ -149,7 +153,7 @@
 	case offer.Answered:
 		return wholeResponse{response: chain.Passed{Head: r.Head, Body: r.Body, Sends: s.sendCount + s.unsentCount}}
 	case offer.Accepted:
-		if foreign := r.ForeignType(); s.headSent.Load() && foreign != "" {
+		if foreign := r.ForeignType(); s.head.IsSent() && foreign != "" {
 			return interruptedBy(errors.Errorf("response to a resumed stream is of type %s", foreign))
 		}
 		a.accepted, a.hasBegun = r, true
@@ -182,7 +186,7 @@
 // isEnd reports whether the end of the response is that of the stream. A response without an event that resumes a
 // stream is taken for its end only if it says so itself: an empty list of events with a stated length.
 func (s *stream) isEnd(a *attempt) bool {
-	return a.received > 0 || s.headSent.Load() && a.accepted.StatesLength()
+	return a.received > 0 || s.head.IsSent() && a.accepted.StatesLength()
 }
 
 // relay delivers an event to the caller. It returns the outcome if that ends the attempt, otherwise nil.
@@ -209,7 +213,9 @@
 		s.wentOn = true
 		s.begins.Answered()
 	}
-	if err := s.deliver(a, e); err != nil {
+	if err := s.deliver(a, e); errors.Is(err, errFirstEventTimeout) {
+		return expired{}
+	} else if err != nil {
 		return callerGone{}
 	}
 	a.monitor.RecordEvent() // The target is not silent while the caller is slow to take its event.
@@ -218,7 +224,7 @@
 
 // countResume counts a stream that went on at another target, by whether it did so from a replica.
 func (s *stream) countResume(a *attempt) {
-	if !s.headSent.Load() {
+	if !s.head.IsSent() {
 		return
 	}
 	s.resumeCount++
@@ -233,11 +239,13 @@
 // deliver sends one event to the caller, after the head of the response if that was not sent yet. The pause before
 // the first event of an attempt says nothing about the pace of the engine and does not change its estimate.
 func (s *stream) deliver(a *attempt, e offer.Event) error {
-	if !s.headSent.Load() {
+	if !s.head.IsSent() {
+		if !s.head.Send() {
+			return errFirstEventTimeout
+		}
 		if err := s.request.Outlet.Begin(a.accepted.Head); err != nil {
 			return fmt.Errorf("send head: %w", err)
 		}
-		s.headSent.Store(true)
 	}
 	if err := s.request.Outlet.Event(e.Raw); err != nil {
 		return fmt.Errorf("send event: %w", err)
--- a/entry/flight/ending.go
+++ b/entry/flight/ending.go
@@ -25,13 +25,15 @@
 	case completed:
 		return chain.Finished{Events: s.eventCount, Resumed: s.resumeCount, First: s.firstEventDelay, Pause: s.longestGap}, true
 	case wholeResponse:
-		if !s.headSent.Load() && !(r.response.Failed() && s.policy.Resumable) {
+		if !s.head.IsSent() && !(r.response.Failed() && s.policy.Resumable) {
 			return r.response, true
 		}
 		a.pick.Failed()
 		s.failedResponse = &r.response
 	case callerGone:
 		return chain.Left{}, true
+	case expired:
+		return send.Unknown(deny.KindTimeout, "no event in time"), true
 	case notRun:
 		s.settleRefusal(a, r)
 	case interrupted:
@@ -111,7 +113,7 @@
 // finalAnswer returns the answer of a stream that does not go on at another target.
 func (s *stream) finalAnswer(reason string) chain.Answer {
 	switch {
-	case s.headSent.Load():
+	case s.head.IsSent():
 		s.sender.Counts.Severed.Inc()
 		return chain.Severed{Reason: reason, EndedBy: s.endedBy}
 	case s.failedResponse != nil:
@@ -134,7 +136,7 @@
 		return s.finalAnswer(chain.ErrStopping.Error())
 	case hasTimeLeft(ctx):
 		return chain.Left{}
-	case s.headSent.Load() || s.failedResponse != nil || !s.mayHaveRun:
+	case s.head.IsSent() || s.failedResponse != nil || !s.mayHaveRun:
 		return s.finalAnswer(reason)
 	default:
 		return send.Unknown(deny.KindTimeout, "no event in time")
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -57,7 +57,7 @@
 	wentOn          bool                        // whether a target went on after it had begun to answer
 	eventCount      int                         // events delivered to the caller
 	lastEventID     string                      // id of the last event that the caller has
-	headSent        atomic.Bool                 // whether the caller has the head of the response
+	head            offer.Head                  // what has become of the head of the response
 	mayHaveRun      bool                        // whether a target may have run the request
 	reservation     *send.Reservation
 	endedBy         chain.Ending  // what ended the last interrupted attempt, or empty
@@ -77,7 +77,7 @@
 	defer expire(nil)
 	if at, ok := send.Timeout(c, f); ok {
 		timer := time.AfterFunc(time.Until(at), func() {
-			if !s.headSent.Load() {
+			if s.head.Expire() {
 				expire(errFirstEventTimeout)
 			}
 		})
@@ -195,7 +195,7 @@
 // become available.
 func (s *stream) chooseTarget(ctx context.Context) (*picker.Pick, *guard.Replica, bool) {
 	timeout := firstTargetTimeout
-	if s.headSent.Load() {
+	if s.head.IsSent() {
 		timeout = nextTargetTimeout
 	}
 	deadline := time.Now().Add(timeout)
--- a/entry/flight/move.go
+++ b/entry/flight/move.go
@@ -130,13 +130,8 @@
 	if !s.current.hasBegun {
 		s.sender.Counts.Undecided.Inc()
 	}
-	s.sender.Log.WithFields(log.Fields{
-		"request":    s.call.ID,
-		"target":     silent.pick.Target.Name,
-		"next":       s.current.pick.Target.Name,
-		"next-begun": s.current.hasBegun,
-		"events":     silent.received,
-	}).Info("stream leaves its silent target")
+	fields := log.Fields{"request": s.call.ID, "target": silent.pick.Target.Name, "next": s.current.pick.Target.Name, "next-begun": s.current.hasBegun, "events": silent.received}
+	s.sender.Log.WithFields(fields).Info("stream leaves its silent target")
 }
 
 // resetOffers ends the offer to another target, as the current one has sent an event.
@@ -216,13 +211,13 @@
 // mayAskRefusers reports whether a stream whose caller has the head may be sent once more to targets that refused it.
 // They have received the request before, so that they do not count against the route's bound again.
 func (s *stream) mayAskRefusers() bool {
-	return len(s.refusers) > 0 && s.headSent.Load() && time.Since(s.lastEventAt) < refusalTimeout
+	return len(s.refusers) > 0 && s.head.IsSent() && time.Since(s.lastEventAt) < refusalTimeout
 }
 
 // waitAfterRefusal spaces the attempts of a stream whose caller has the head and that full targets refuse.
 func (s *stream) waitAfterRefusal(ctx context.Context, result outcome) {
 	r, ok := result.(notRun)
-	if !ok || !r.received || !s.headSent.Load() {
+	if !ok || !r.received || !s.head.IsSent() {
 		return
 	}
 	wait.Sleep(ctx, s.spacing.Delay())
