guard: a target that refuses connections is not taken for lost while it keeps a stream's own

Cause: a target that is leaving takes no new connections and serves those that it has; the probe of a silent one is a new connection, and its refusal counted as a loss. Class of fault: a sign that has two meanings is taken for one. Change: only a connection that is neither accepted nor refused counts; a process that has ended has closed its connections, which ends the attempt by itself. A target that also stays silent is left as before, as stalled. Ruled out: to look at the store's list first, since the entry may be gone before the target is.

--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"bramleywharf.example/core/flow"
@@ -20,7 +21,7 @@
 	ErrStalled = errors.New("target sent no event in time")
 	// ErrQueued means that no event came in time since the stream waits in the target's queue, or its prompt is read after that.
 	ErrQueued = errors.New("stream waits in the target's queue")
-	// ErrUnreachable means that the silent target takes no connection.
+	// ErrUnreachable means that a connection to the silent target is neither accepted nor refused.
 	ErrUnreachable = errors.New("target stopped sending and accepts no connection")
 	// ErrStreamLost means that the silent target's report shows that the stream is lost.
 	ErrStreamLost = errors.New("target reports events that did not arrive, or does not have the request")
@@ -187,7 +188,7 @@
 	var err error
 	if lastEvent == 0 && !m.subject.FromReplica && (expected.DomainLoss || now > progressCheckDelay) {
 		err = m.checkProgress(ctx)
-	} else if m.subject.Sender.Link.Probe(ctx, m.subject.Pick.Target.Address) != nil {
+	} else if isUnreachable(m.subject.Sender.Link.Probe(ctx, m.subject.Pick.Target.Address)) {
 		err = ErrUnreachable
 	}
 	if ctx.Err() != nil || m.LastEvent() != lastEvent {
@@ -208,13 +209,19 @@
 	return m.queueWait
 }
 
+// isUnreachable reports whether the error of a connection shows that a target is lost. One that refuses it may be leaving,
+// and runs on what it has accepted; a process that has ended has closed its connections.
+func isUnreachable(err error) bool {
+	return err != nil && !errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // checkProgress reads the target's report. It returns an error when the target has produced events, none of which
 // arrived, when it does not have the request, or when it takes no connection.
 func (m *Monitor) checkProgress(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, progressCheckTimeout)
 	defer cancel()
 	p, err := m.subject.Sender.AskProgress(ctx, m.subject.Pick.Target, m.subject.Call.ID)
-	if link.IsNotSent(err) {
+	if link.IsNotSent(err) && isUnreachable(err) {
 		return ErrUnreachable
 	}
 	if err != nil {
