send, retry: a target that makes no reports works on a stream that it has not refused

Cause: took a target that answers without a report for one that does not answer, and withdrew the offer to it; a silent stream at such targets never moved. Targets that report are not affected.

--- a/core/retry/overlap.go
+++ b/core/retry/overlap.go
@@ -19,7 +19,7 @@
 func (Lost) isDoubt()    {}
 
 // OfferState is the sealed set of what is known of a target to which a request was offered while it stays with a silent
-// one: Working, Queued, Unlisted and Unheard.
+// one: Working, Queued, Unlisted, Unreported and Unheard.
 type OfferState interface {
 	isOfferState()
 }
@@ -33,13 +33,17 @@
 // Unlisted means that the target's report shows no such request; it may be older than the offer.
 type Unlisted struct{}
 
-// Unheard means that the target does not report.
+// Unreported means that the target makes no reports; it has taken the request, since a full one refuses it at once.
+type Unreported struct{}
+
+// Unheard means that the target does not answer the question for its report.
 type Unheard struct{}
 
-func (Working) isOfferState()  {}
-func (Queued) isOfferState()   {}
-func (Unlisted) isOfferState() {}
-func (Unheard) isOfferState()  {}
+func (Working) isOfferState()    {}
+func (Queued) isOfferState()     {}
+func (Unlisted) isOfferState()   {}
+func (Unreported) isOfferState() {}
+func (Unheard) isOfferState()    {}
 
 // OverlapStep is the sealed set of what to do with a request that two targets have: Replace, Withdraw and Overlap.
 type OverlapStep interface {
@@ -62,9 +66,11 @@
 func (Overlap) isOverlapStep()  {}
 
 // DecideOverlap returns what to do with a request that was offered to another target because of a doubt about its own. The
-// silent attempt never ends before the other target works on the request, since the silent target may be sound.
+// silent attempt does not end before the other target works on the request, as far as that can be known, since the silent
+// target may be sound.
 func DecideOverlap(silent Doubt, other OfferState) OverlapStep {
-	if _, ok := other.(Working); ok {
+	switch other.(type) {
+	case Working, Unreported:
 		return Replace{}
 	}
 	if _, ok := silent.(Lost); ok {
--- a/entry/send/backlog.go
+++ b/entry/send/backlog.go
@@ -11,12 +11,16 @@
 	"bramleywharf.example/core/route"
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/entry/link"
+	"github.com/pkg/errors"
 )
 
 // askTimeout bounds a question for which a request waits. A target answers in about a millisecond, and reading a prompt takes a
 // second.
 const askTimeout = 100 * time.Millisecond
 
+// errNoReport means that a target has answered the question for its report without one.
+var errNoReport = errors.New("target makes no reports")
+
 // Backlogs asks targets at the same time how many prompts they have to read.
 func (s *Sender) Backlogs(ctx context.Context, targets []site.Target) []route.Backlog {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -47,6 +51,8 @@
 func (s *Sender) OfferState(ctx context.Context, target site.Target, id string) retry.OfferState {
 	progress, err := s.AskLoad(ctx, target, id)
 	switch {
+	case errors.Is(err, errNoReport):
+		return retry.Unreported{}
 	case err != nil:
 		return retry.Unheard{}
 	case progress.MayWait():
@@ -77,13 +83,17 @@
 	if err != nil {
 		return Progress{}, fmt.Errorf("ask for a report: %w", err)
 	}
-	if reply.Status() != http.StatusOK {
+	switch reply.Status() {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return Progress{}, fmt.Errorf("target %s: %w", target.Name, errNoReport)
+	default:
 		return Progress{}, fmt.Errorf("ask for a report: status %d", reply.Status())
 	}
 	progress, err := s.Dialect.Progress(id, body)
 	if err != nil {
 		s.Log.WithError(err).WithField("target", target.Name).Info("report of the target cannot be decoded")
-		return Progress{}, fmt.Errorf("report of target %s: %w", target.Name, err)
+		return Progress{}, fmt.Errorf("report of target %s: %w: %w", target.Name, errNoReport, err)
 	}
 	return progress, nil
 }
