pass: an idempotent request may go to its only target again after its connection broke

Callers saw 502 "no target of the service is left" for an idempotent request whose kept connection to the only sound target broke.

Cause: a target that was tried is avoided for the rest of the request, also when what failed was the connection. Streams ask the targets that failed again when no other is left; whole requests did so only for connections that took too long.

Change: a target whose answer was no valid one is a spare target of an idempotent request, used when no other is left, within the route's attempts and the bound on retries as before, on a new connection.

Ruled out: a longer check of kept connections, which only moves the race. A request that may run once has a connection of its own and is not sent again.

--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -38,7 +38,7 @@
 	idempotent     bool
 	service        string
 	avoidedTargets map[string]bool  // names of the targets that were tried
-	slowTargets    []string         // names of those to which no connection was established in time
+	spareTargets   []string         // names of those that may be tried once more if no other one is left
 	sendCount      int              // attempts whose target may have received the request
 	unsentCount    int              // attempts that did not reach the intended target
 	open           []*attempt       // the attempts that have not ended, the newest last
@@ -82,7 +82,7 @@
 			u.patience = nil
 		case ok:
 			u.start(ctx, pick)
-		case len(u.open) == 0 && u.allowSlowTargets():
+		case len(u.open) == 0 && u.allowSpareTargets():
 			continue
 		case len(u.open) == 0:
 			return u.finalAnswer("no target of the service is left")
@@ -95,22 +95,22 @@
 	}
 }
 
-// allowSlowTargets lets the request be sent to the targets that were slow to accept a connection, and reports whether
-// there are any. A dropped packet or a full backlog delays a connection by more than the time that is allowed for it.
-func (u *unaryCall) allowSlowTargets() bool {
-	slow := u.slowTargets
-	for _, name := range slow {
+// allowSpareTargets lets the request be sent to the spare targets again, and reports whether there are any.
+func (u *unaryCall) allowSpareTargets() bool {
+	spare := u.spareTargets
+	for _, name := range spare {
 		delete(u.avoidedTargets, name)
 	}
-	u.slowTargets = nil
-	return len(slow) > 0
+	u.spareTargets = nil
+	return len(spare) > 0
 }
 
 // start sends the request to a target, beside the attempts that are open.
 func (u *unaryCall) start(ctx context.Context, pick *picker.Pick) {
 	u.avoidedTargets[pick.Target.Name] = true
 	left := send.Left(u.call, u.request)
-	message := u.sender.Outgoing(send.Send{Call: u.call, Target: pick.Target, Left: left}, u.request, !u.idempotent)
+	// A retry does not rest on a kept connection, which may be what broke.
+	message := u.sender.Outgoing(send.Send{Call: u.call, Target: pick.Target, Left: left}, u.request, !u.idempotent || u.sendCount > 0)
 	a, exchange := newAttempt(ctx, u.sender, u.call, pick, message, u.completions)
 	a.isRepeat = u.reservation.Take()
 	u.open = append(u.open, a)
@@ -189,8 +189,9 @@
 	case notSent:
 		u.unsentCount++
 		u.reservation.Restore(a.isRepeat)
+		// A dropped packet or a full backlog delays a connection by more than the time that is allowed for it.
 		if isTimeout(r.err) {
-			u.slowTargets = append(u.slowTargets, a.pick.Target.Name)
+			u.spareTargets = append(u.spareTargets, a.pick.Target.Name)
 		}
 	case notRun:
 		if r.misdirected {
@@ -202,6 +203,10 @@
 	case unconfirmed:
 		u.sendCount++
 		u.mayHaveRun = true
+		// A connection can break although its target is sound.
+		if u.idempotent {
+			u.spareTargets = append(u.spareTargets, a.pick.Target.Name)
+		}
 	case answered:
 		u.sendCount++
 		if r.response.Failed() {
