conns, link: count and log connections that the kernel ends

What callers saw: a connection that the kernel had ended (reset, TCP user timeout, unanswered probes) took the request with it, and its line said "caller disconnected", as for a caller that left.

Change: bramleywharf_caller_connections_ended_total{cause} tells closed (end of file) from reset, broken-pipe, timeout and unreachable, once for each connection; a connection that the kernel ends under a request is logged with the request's id and the error. The same count for connections to targets, bramleywharf_target_connections_ended_total{cause}; their errors are in the lines of the attempts already.

--- a/entry/internal/conns/conn.go
+++ b/entry/internal/conns/conn.go
@@ -15,6 +15,9 @@
 	phase     atomic.Pointer[phase]
 	announced time.Duration // announced is the idle limit of the last answer's head; only the goroutine in net/http uses it.
 	crossed   *metrics.Counter
+	request   atomic.Pointer[string]                         // request is the id of the request in progress, or nil.
+	ended     atomic.Bool                                    // ended tells that onEnd was called.
+	onEnd     func(request *string, end link.End, err error) // onEnd is called when the caller or the kernel has ended the connection.
 }
 
 var (
@@ -35,6 +38,7 @@
 // Read returns bytes only if the connection is not being closed.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.noteEnd(err)
 	if n > 0 && !c.receive(n) {
 		c.crossed.Inc()
 		return 0, net.ErrClosed
@@ -42,6 +46,13 @@
 	return n, err
 }
 
+// Write sends bytes of an answer.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.noteEnd(err)
+	return n, err
+}
+
 // Close closes the connection, whatever its phase.
 func (c *conn) Close() error {
 	c.phase.Store(closedPhase)
--- a/entry/internal/conns/server.go
+++ b/entry/internal/conns/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bramleywharf.example/core/wait"
+	"bramleywharf.example/entry/link"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 )
@@ -44,6 +45,7 @@
 	onLeaving *metrics.Counter
 	crossed   *metrics.Counter
 	cut       *metrics.Counter
+	ends      link.EndCounts
 }
 
 // New returns a server that serves with the handler, timeouts and bounds of an HTTP server, whose hooks it sets.
@@ -56,6 +58,7 @@
 		onLeaving: set.GetOrCreateCounter(`bramleywharf_caller_connections_closed_total{cause="leaving"}`),
 		crossed:   set.GetOrCreateCounter("bramleywharf_caller_connections_crossed_total"),
 		cut:       set.GetOrCreateCounter("bramleywharf_requests_cut_total"),
+		ends:      link.NewEndCounts(set, "bramleywharf_caller_connections_ended_total"),
 	}
 	httpServer.Handler = server.guard(httpServer.Handler)
 	ctx, endCalls := context.WithCancelCause(context.Background())
@@ -194,6 +197,9 @@
 			s.crossed.Inc()
 			panic(http.ErrAbortHandler)
 		}
+		id := r.Header.Get(s.settings.IDHeader)
+		c.request.Store(&id)
+		defer c.request.Store(nil)
 		defer s.reportCut(c, r)
 		guarded := &writer{ResponseWriter: w, server: s, conn: c}
 		next.ServeHTTP(guarded, r)
@@ -228,6 +234,7 @@
 		return nil, err
 	}
 	c := newConn(raw, time.Now(), l.server.crossed)
+	c.onEnd = l.server.recordEnd
 	l.server.open.Store(c, true)
 	l.server.openCount.Add(1)
 	return c, nil
--- a/entry/link/conn.go
+++ b/entry/link/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,6 +21,8 @@
 	idleSince    time.Time     // when the connection became idle
 	expiresAt    time.Time     // when the target may close the idle connection
 	wasPooled    bool          // whether the connection has been idle before
+	ends         EndCounts
+	hasEnded     atomic.Bool // whether its end is counted
 }
 
 // boundedReader reads from a connection up to a bound.
@@ -45,9 +48,29 @@
 	return n, err
 }
 
-func newConn(raw net.Conn) *conn {
-	input := &boundedReader{Reader: raw, left: -1}
-	return &conn{Conn: raw, input: input, reader: bufio.NewReaderSize(input, readBufferSize)}
+func newConn(raw net.Conn, ends EndCounts) *conn {
+	c := &conn{Conn: raw, ends: ends}
+	c.input = &boundedReader{Reader: c, left: -1}
+	c.reader = bufio.NewReaderSize(c.input, readBufferSize)
+	return c
+}
+
+// Read reads bytes of a response.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.noteEnd(err)
+	return n, err
+}
+
+// noteEnd counts the connection's end, once, if the error of a read or write shows that the target or the kernel has
+// ended it.
+func (c *conn) noteEnd(err error) {
+	if err == nil {
+		return
+	}
+	if end := EndOf(err); end != nil && c.hasEnded.CompareAndSwap(false, true) {
+		c.ends.Count(end)
+	}
 }
 
 // readHead reads the head of the next final response within maxHeadSize, and skips interim ones. It returns ErrBroken if
@@ -90,6 +113,7 @@
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.bytesWritten += n
+	c.noteEnd(err)
 	return n, err
 }
 
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -88,6 +88,7 @@
 	openedConns    *metrics.Counter
 	strayResponses *metrics.Counter
 	staleConns     *metrics.Counter
+	ends           EndCounts
 
 	mu        sync.Mutex
 	idleConns map[string][]*conn // from address to connections, the last returned one at the end
@@ -101,6 +102,7 @@
 		openedConns:    set.GetOrCreateCounter("bramleywharf_target_connections_total"),
 		strayResponses: set.GetOrCreateCounter("bramleywharf_stray_responses_total"),
 		staleConns:     set.GetOrCreateCounter("bramleywharf_stale_connections_total"),
+		ends:           NewEndCounts(set, "bramleywharf_target_connections_ended_total"),
 		idleConns:      make(map[string][]*conn),
 	}
 }
@@ -209,7 +211,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to target %s: %w", address, err)
 	}
-	return newConn(raw), nil
+	return newConn(raw, l.ends), nil
 }
 
 // roundTrip writes a request and reads the head of its response. It skips responses to other requests, and writes a
