--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -230,7 +230,9 @@
 		}
 		s.replicas.Discard(r)
 	}
-	if pick, ok := s.pickTarget(ctx); ok {
+	want := s.want()
+	want.Room = s.waits()
+	if pick, ok := s.sender.PickStream(ctx, want); ok {
 		if s.mayTake(ctx, pick) {
 			return pick, nil, true
 		}
--- a/entry/send/backlog.go
+++ b/entry/send/backlog.go
@@ -11,9 +11,18 @@
 	"bramleywharf.example/core/route"
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/entry/link"
+	"bramleywharf.example/entry/picker"
 	"github.com/pkg/errors"
 )
 
+const (
+	// askedTargets is the number of targets that are asked for their load before a stream is placed; asking more of them
+	// would send many instances to the same idle ones.
+	askedTargets = 2
+	// maxLoadAge is the age of other instances' load reports from which targets are asked.
+	maxLoadAge = time.Second
+)
+
 // askTimeout bounds a question for which a request waits. A target answers in about a millisecond, and reading a prompt takes a
 // second.
 const askTimeout = 100 * time.Millisecond
@@ -21,8 +30,25 @@
 // errNoReport means that a target has answered the question for its report without one.
 var errNoReport = errors.New("target makes no reports")
 
-// Backlogs asks targets at the same time how many prompts they have to read.
-func (s *Sender) Backlogs(ctx context.Context, targets []site.Target) []route.Backlog {
+// PickStream chooses a target for a stream. If load reports are old, it asks the best targets how many prompts they have to
+// read first.
+func (s *Sender) PickStream(ctx context.Context, want picker.Want) (*picker.Pick, bool) {
+	if s.Picker.LoadAge() < maxLoadAge {
+		return s.Picker.Stream(want)
+	}
+	candidates := s.Picker.Best(want, askedTargets)
+	switch len(candidates) {
+	case 0:
+		return nil, false
+	case 1:
+		return s.Picker.StreamAt(candidates[0], want)
+	default:
+		return s.Picker.StreamAt(candidates[route.LeastBacklog(s.backlogs(ctx, candidates))], want)
+	}
+}
+
+// backlogs asks targets at the same time how many prompts they have to read.
+func (s *Sender) backlogs(ctx context.Context, targets []site.Target) []route.Backlog {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	backlogs := make([]route.Backlog, len(targets))
