filter, flight, pass: a line and a counter for each request that a stop ends

What callers saw: a stop cut streams or answered 502 and 503, and no line said whether the rule LOST excuses it: the time left, the grace period in force, whether the request came after the signal, and whether a target was at work.

Change, no logic of a request: flight and pass return chain.Stopped, with what the call was doing (chain.Work: Arriving, Between, Queued, Running), and the filter Stop logs one line ("request was ended as the instance stops": state, target, begun, events, stop-ms, left-ms, grace-ms, arrived-ms), counts bramleywharf_requests_ended_at_stop_total{state} and passes the answer on. A body that is still arriving goes through the chain as chain.Unread, so that the refusal and its line are the same filter's; the front only translates. grace.Period holds the signal and the length of the period.

Evidence: TestStopTellsWhatStreamsDid (nine streams: before the head, between events, in a queue, between targets, resumable and not) and TestStopNamesWhatItEnds (nine requests of a whole instance, before and after the signal).

--- a/entry/chain/answer.go
+++ b/entry/chain/answer.go
@@ -4,15 +4,10 @@
 	"time"
 
 	"bramleywharf.example/core/deny"
-	"github.com/pkg/errors"
 )
 
-// ErrStopping is the cause for which the context of a call ends when the instance can no longer wait for the call. The
-// caller is still there and gets an answer.
-var ErrStopping = errors.New("the instance is stopping")
-
-// Answer is the sealed set of results of a call: Streamed, Whole, Addresses, Passed, Finished, Severed, Refused and
-// Left.
+// Answer is the sealed set of results of a call: Streamed, Whole, Addresses, Passed, Finished, Severed, Refused, Left
+// and Stopped.
 type Answer interface {
 	isAnswer()
 }
--- a/entry/chain/call.go
+++ b/entry/chain/call.go
@@ -6,7 +6,7 @@
 	"bramleywharf.example/core/site"
 )
 
-// Request is the sealed set of requests: Generate, Resume, Invoke, Lookup and Forward.
+// Request is the sealed set of requests: Generate, Resume, Invoke, Lookup, Forward and Unread.
 type Request interface {
 	isRequest()
 }
--- a/entry/filter/record.go
+++ b/entry/filter/record.go
@@ -100,6 +100,8 @@
 		return "lookup"
 	case chain.Forward:
 		return "forward"
+	case chain.Unread:
+		return "unread"
 	default:
 		return "none"
 	}
--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -72,6 +72,7 @@
 	received  int            // events that were received
 	isSuspect bool           // whether the target was reported as lost although the attempt goes on
 	isKept    bool           // whether it was recorded that the stream stays with its silent target
+	silence   guard.Silence  // last silence that its monitor reported, or the zero value
 }
 
 // steps returns the channel of the attempt's steps, or nil for no attempt.
--- a/entry/flight/ending.go
+++ b/entry/flight/ending.go
@@ -7,6 +7,7 @@
 
 	"bramleywharf.example/core/deny"
 	"bramleywharf.example/entry/chain"
+	"bramleywharf.example/entry/guard"
 	"bramleywharf.example/entry/send"
 	"github.com/apex/log"
 	"github.com/pkg/errors"
@@ -19,7 +20,7 @@
 	s.replicas.Discard(a.replica)
 	if _, done := result.(completed); !done && ctx.Err() != nil {
 		s.mayHaveRun = s.mayHaveRun || mayHaveRun(result) || s.current != nil
-		return s.giveUp(ctx, "time is up"), true
+		return s.giveUp(ctx, s.work(a, result), "time is up"), true
 	}
 	switch r := result.(type) {
 	case completed:
@@ -128,12 +129,12 @@
 }
 
 // giveUp returns the answer when time is up, the caller has left or no target is available.
-func (s *stream) giveUp(ctx context.Context, reason string) chain.Answer {
+func (s *stream) giveUp(ctx context.Context, work chain.Work, reason string) chain.Answer {
 	switch {
 	case ctx.Err() == nil:
 		return s.finalAnswer(reason)
 	case errors.Is(context.Cause(ctx), chain.ErrStopping):
-		return s.finalAnswer(chain.ErrStopping.Error())
+		return chain.Stopped{Answer: s.finalAnswer(chain.ErrStopping.Error()), Work: work, Events: s.eventCount}
 	case hasTimeLeft(ctx):
 		return chain.Left{}
 	case s.head.IsSent() || s.failedResponse != nil || !s.mayHaveRun:
@@ -143,6 +144,21 @@
 	}
 }
 
+// work returns what the stream was doing when an attempt ended, which may be the only one.
+func (s *stream) work(ended *attempt, result outcome) chain.Work {
+	a := s.current
+	if a == nil {
+		if _, ok := result.(notRun); ok {
+			return chain.Between{}
+		}
+		a = ended
+	}
+	if errors.Is(a.silence.Err, guard.ErrQueued) && a.silence.LastEvent == a.monitor.LastEvent() {
+		return chain.Queued{Target: a.pick.Target.Name}
+	}
+	return chain.Running{Target: a.pick.Target.Name}
+}
+
 // logOutcome logs why an attempt did not complete the stream.
 func (s *stream) logOutcome(a *attempt, result outcome) {
 	fields := log.Fields{
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -127,7 +127,7 @@
 	for {
 		pick, from, ok := s.chooseTarget(ctx)
 		if !ok {
-			return s.giveUp(ctx, "no target of the service is left")
+			return s.giveUp(ctx, chain.Between{}, "no target of the service is left")
 		}
 		if s.isBlocked() {
 			pick.Release()
--- a/entry/flight/move.go
+++ b/entry/flight/move.go
@@ -35,7 +35,7 @@
 	if report.LastEvent != s.current.monitor.LastEvent() {
 		return
 	}
-	s.silence = report
+	s.silence, s.current.silence = report, report
 	now := time.Now()
 	if s.next != nil || now.Before(s.nextOfferAt) {
 		return
--- /dev/null
+++ b/entry/flight/stopped_test.go
@@ -0,0 +1,69 @@
+package flight
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"bramleywharf.example/core/deny"
+	"bramleywharf.example/entry/chain"
+	"github.com/frankban/quicktest"
+)
+
+// queueTime is a time after which a stream without an event is known to wait in its target's queue.
+const queueTime = 3500 * time.Millisecond
+
+// TestStopTellsWhatStreamsDid guards against streams that a stop ends and of which nobody can tell whether their target
+// was still at work.
+func TestStopTellsWhatStreamsDid(t *testing.T) {
+	never := make(chan struct{})
+	cases := map[string]struct {
+		target     behaviour
+		wait       time.Duration
+		atMostOnce bool
+		lost       bool // lost makes the target unreachable before the stop.
+		work       chain.Work
+		events     int
+		executed   deny.Executed // executed is what the refusal says, or empty for a stream whose caller has the head.
+	}{
+		"no-head":                        {target: behaviour{begin: never}, work: chain.Running{Target: "a"}, executed: deny.ExecutedUnknown},
+		"no-head-at-most-once":           {target: behaviour{begin: never}, atMostOnce: true, work: chain.Running{Target: "a"}, executed: deny.ExecutedUnknown},
+		"head-without-event":             {target: behaviour{crash: never}, work: chain.Running{Target: "a"}, executed: deny.ExecutedUnknown},
+		"between-events":                 {target: behaviour{haltAt: 3, resume: never}, work: chain.Running{Target: "a"}, events: 3},
+		"between-events-at-most-once":    {target: behaviour{haltAt: 3, resume: never}, atMostOnce: true, work: chain.Running{Target: "a"}, events: 3},
+		"in-a-queue":                     {target: behaviour{begin: never, queued: true}, wait: queueTime, work: chain.Queued{Target: "a"}, executed: deny.ExecutedUnknown},
+		"in-a-queue-between-events":      {target: behaviour{haltAt: 3, resume: never, queued: true}, wait: queueTime, work: chain.Queued{Target: "a"}, events: 3},
+		"between-targets":                {target: behaviour{haltAt: 3, resume: never}, lost: true, work: chain.Between{}, events: 3},
+		"between-targets-without-a-head": {target: behaviour{begin: never}, lost: true, work: chain.Between{}, executed: deny.ExecutedUnknown},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, "a")
+			w.atMostOnce = test.atMostOnce
+			w.behave("a", test.target)
+			ctx, stop := context.WithCancelCause(w.c.Context())
+			_, answers := w.start(ctx, &caller{})
+			time.Sleep(200*time.Millisecond + test.wait)
+			if test.lost {
+				w.servers["a"].Listener.Close()
+				w.servers["a"].CloseClientConnections()
+				time.Sleep(50 * time.Millisecond)
+			}
+			stop(chain.ErrStopping)
+			answer := <-answers
+			stopped, ok := answer.(chain.Stopped)
+			w.c.Assert(ok, quicktest.IsTrue, quicktest.Commentf("%#v", answer))
+			w.c.Check(stopped.Work, quicktest.Equals, test.work)
+			w.c.Check(stopped.Events, quicktest.Equals, test.events)
+			switch a := stopped.Answer.(type) {
+			case chain.Refused:
+				w.c.Check(a.Refusal.Executed, quicktest.Equals, test.executed)
+			case chain.Severed:
+				w.c.Check(test.executed, quicktest.Equals, deny.Executed(""))
+			default:
+				w.c.Errorf("answer is %#v", a)
+			}
+		})
+	}
+}
--- a/entry/flight/world_test.go
+++ b/entry/flight/world_test.go
@@ -66,7 +66,8 @@
 	targets []site.Target
 	servers map[string]*httptest.Server
 
-	maxAttempts int // maxAttempts is that of the route, or 0 for 5.
+	maxAttempts int  // maxAttempts is that of the route, or 0 for 5.
+	atMostOnce  bool // atMostOnce tells that streams may not be resumed.
 
 	mu         sync.Mutex
 	behaviours map[string]behaviour
@@ -248,7 +249,7 @@
 // start runs a stream for a caller and returns the target that runs it first, and a channel that gets the answer.
 func (w *world) start(ctx context.Context, caller *caller) (string, <-chan chain.Answer) {
 	answers := make(chan chain.Answer, 1)
-	policy := site.Stream{Resumable: true}
+	policy := site.Stream{Resumable: !w.atMostOnce}
 	call := chain.Call{ID: "r1"}.WithRoute(site.NewConfig("1", 1, site.Limits{}), site.Route{RetryPolicy: policy, MaxAttempts: cmp.Or(w.maxAttempts, 5), Services: []site.WeightedService{{Service: testService, Weight: 1}}})
 	now := time.Now()
 	forward := chain.Forward{Method: http.MethodPost, Host: "host", Path: "/x", Deadline: now.Add(waitTimeout), Received: now, Prompt: chain.Prompt{{ID: "shared", Tokens: 10}, {ID: testSession, Tokens: 10}}, Outlet: caller}
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -25,6 +25,7 @@
 	"bramleywharf.example/entry/pass"
 	"bramleywharf.example/entry/picker"
 	"bramleywharf.example/entry/send"
+	"bramleywharf.example/entry/stop"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 )
@@ -115,6 +116,7 @@
 	bodies        *quota.Budget // bodies bounds the memory of the bodies that are held at a time.
 	callerServer  atomic.Pointer[conns.Server]
 	ready         atomic.Bool
+	stopping      stop.Stop
 	leaveOnce     sync.Once
 	cancel        context.CancelFunc
 	failed        chan error
@@ -305,6 +307,7 @@
 	handler := chain.Build(pass.New(sender).Handle,
 		filter.NewTrace(i.log, i.set),
 		filter.NewRecord(i.set, i.log),
+		filter.NewStop(&i.stopping, i.log, i.set),
 		filter.NewLocate(i.board),
 		filter.Noted{},
 		filter.NewBlock(i.blocks),
--- a/entry/inst/leave.go
+++ b/entry/inst/leave.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bramleywharf.example/core/grace"
 	"bramleywharf.example/core/wait"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/internal/conns"
@@ -27,6 +28,7 @@
 func (i *Instance) Leave() {
 	i.leaveOnce.Do(func() {
 		i.log.Info("instance is leaving")
+		i.stopping.Begin(grace.NewPeriod(time.Now(), i.settings.Grace))
 		i.mu.Lock()
 		i.leaving = true
 		i.ready.Store(false)
--- a/entry/pass/errand.go
+++ b/entry/pass/errand.go
@@ -175,8 +175,9 @@
 		return r.response, true
 	}
 	if ctx.Err() != nil {
+		work := u.work(a, result)
 		u.close()
-		return u.endedAnswer(ctx), true
+		return u.endedAnswer(ctx, work), true
 	}
 	return nil, false
 }
@@ -288,10 +289,10 @@
 
 // endedAnswer returns the answer when the context has ended: by its deadline, because the instance stops or because the
 // caller left.
-func (u *unaryCall) endedAnswer(ctx context.Context) chain.Answer {
+func (u *unaryCall) endedAnswer(ctx context.Context, work chain.Work) chain.Answer {
 	switch {
 	case errors.Is(context.Cause(ctx), chain.ErrStopping):
-		return u.finalAnswer(chain.ErrStopping.Error())
+		return chain.Stopped{Answer: u.finalAnswer(chain.ErrStopping.Error()), Work: work}
 	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return chain.Left{}
 	case u.failedResponse != nil:
@@ -303,6 +304,17 @@
 	}
 }
 
+// work returns what the request was doing when an attempt ended, beside which others may be open.
+func (u *unaryCall) work(ended *attempt, result outcome) chain.Work {
+	if len(u.open) > 0 {
+		return chain.Running{Target: u.newest().pick.Target.Name}
+	}
+	if _, ok := result.(unconfirmed); ok {
+		return chain.Running{Target: ended.pick.Target.Name}
+	}
+	return chain.Between{}
+}
+
 // recordOutcome logs an outcome other than answered, and tells the picker if the target failed. Targets that could not
 // be reached are reported by the attempt.
 func (u *unaryCall) recordOutcome(ctx context.Context, a *attempt, result outcome) {
