reload, inst: the settings file is followed while an instance runs

Cause: the settings were read once. SIGHUP only logged whether the file had changed, and Leave used the grace period of the start; the same held for ttl_max_s, retry_budget_ratio, budget_slack and memory_mb.

reload is a controller that looks at the file each second, on SIGHUP and when a stop begins, and publishes an immutable value in a cell. The file counts once two reads return the same; one with a fault changes nothing and is logged. Settings that apply only after a restart carry a tag and are named in a warning. inst reads its Tuning from the cell where it is used: the grace period (also during a stop, counted from its begin), the bounds on retries, the bounds on memory, the seeds when it joins. A longer grace_s during a stop lets requests go on; a shorter one is kept, since SIGKILL comes then.

Evidence: TestGraceInForce.

Ruled out: inotify, which the platform lacks; the file's times, which may be too coarse for two writes in a row, so the content is compared.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -50,6 +50,27 @@
 	return next
 }
 
+// Part is a part of the value of a cell.
+type Part[T, P any] struct {
+	cell *Cell[T]
+	part func(T) P
+}
+
+// NewPart returns the part of a cell's value that a function selects.
+func NewPart[T, P any](c *Cell[T], part func(T) P) Part[T, P] {
+	return Part[T, P]{cell: c, part: part}
+}
+
+// Changed returns a channel that closes at the next update of the cell.
+func (p Part[T, P]) Changed() <-chan struct{} {
+	return p.cell.Changed()
+}
+
+// Load returns the part of the current value without locking.
+func (p Part[T, P]) Load() P {
+	return p.part(p.cell.Load())
+}
+
 // TryUpdate replaces the value behind p with the result of change. Unlike Update it takes no lock and notifies nobody.
 // It returns false, and leaves the value as it is, when change returns false.
 //
--- a/core/quota/budget.go
+++ b/core/quota/budget.go
@@ -12,13 +12,20 @@
 
 // Budget is the number of bytes that all requests may hold together.
 type Budget struct {
-	limit int64
+	limit atomic.Int64
 	used  atomic.Int64
 }
 
 // New returns a budget of a number of bytes; 0 sets no limit.
 func New(limit int64) *Budget {
-	return &Budget{limit: limit}
+	b := &Budget{}
+	b.SetLimit(limit)
+	return b
+}
+
+// SetLimit changes the number of bytes; requests keep what they hold beyond a lower one.
+func (b *Budget) SetLimit(limit int64) {
+	b.limit.Store(limit)
 }
 
 // Used returns the number of bytes that are held.
@@ -50,7 +57,7 @@
 	if a == nil {
 		return nil
 	}
-	if used := a.budget.used.Add(bytes); a.budget.limit > 0 && used > a.budget.limit {
+	if used, limit := a.budget.used.Add(bytes), a.budget.limit.Load(); limit > 0 && used > limit {
 		a.budget.used.Add(-bytes)
 		return ErrExhausted
 	}
--- a/entry/flight/world_test.go
+++ b/entry/flight/world_test.go
@@ -103,7 +103,7 @@
 	bound := retry.Bound{Slack: 100}
 	w.sender = send.New(send.Settings{
 		Retries: func() retry.Bound { return bound },
-		Fleet:   bound,
+		Fleet:   func() retry.Bound { return bound },
 		Size:    func() int { return 1 },
 		Blocks:  block.New(logger, set),
 	}, targetLink, targetPicker, plainDialect{}, logger, set)
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,11 +38,6 @@
 	targetWatchInterval = 400 * time.Millisecond
 	// memberListInterval is the time between two reads of the list of instances; heartbeats spread changes in between.
 	memberListInterval = 10 * time.Second
-	// memoryLimitShare is the part of the machine's memory that is set as the runtime's soft limit.
-	memoryLimitShare = 0.6
-	// bodyMemoryShare is the part of the machine's memory that bodies of requests and responses may take together. The
-	// rest of the soft limit is for the state of the fleet and for streams, whose events are passed on one at a time.
-	bodyMemoryShare = 0.15
 	// auxHeaderTimeout bounds the wait for the headers of a request to the auxiliary servers.
 	auxHeaderTimeout = 2 * time.Second
 	// joinTimeout bounds the wait for what the other instances know, such as the parts of prompts that crash targets.
@@ -58,10 +52,21 @@
 	Readiness string        // Readiness is the listen address of the readiness probe.
 	Directory string        // Directory is the listen address at which callers ask for instances.
 	Metrics   string        // Metrics is the listen address of the metrics.
-	Seeds     []string      // Seeds lists peer addresses to ask when the list of instances cannot be read.
-	MemoryMB  int           // MemoryMB is the machine's memory; 0 sets no limit.
-	Grace     time.Duration // Grace is the time from the signal to stop until the process is killed.
-	Retries   retry.Bound   // Retries bounds the retries of all instances together.
+	Tuning    TuningCell    // Tuning holds the settings that may change while the instance runs.
+}
+
+// Tuning is the part of the settings that may change while an instance runs. It is immutable.
+type Tuning struct {
+	Seeds    []string      // Seeds lists peer addresses to ask when the list of instances cannot be read.
+	MemoryMB int           // MemoryMB is the machine's memory; 0 sets no limit.
+	Grace    time.Duration // Grace is the time from the signal to stop until the process is killed.
+	Retries  retry.Bound   // Retries bounds the retries of all instances together.
+}
+
+// TuningCell returns the tuning in force, and a channel that closes when it changes.
+type TuningCell interface {
+	Load() Tuning
+	Changed() <-chan struct{}
 }
 
 // Joiner registers an instance in the store; each call is one attempt.
@@ -131,16 +136,13 @@
 
 // Start starts an instance; it is ready once it has received its configuration.
 func Start(s Settings, d Borders, logger log.Interface, set *metrics.Set) (*Instance, error) {
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
-	}
 	i := &Instance{
 		settings:  s,
 		deps:      d,
 		log:       logger,
 		set:       set,
 		link:      link.New(link.Settings{EchoHeader: d.EchoHeader}, set),
-		bodies:    quota.New(int64(bodyMemoryShare * float64(s.MemoryMB) * (1 << 20))),
+		bodies:    quota.New(0),
 		failed:    make(chan error, 1),
 		startDone: make(chan struct{}),
 		done:      make(chan struct{}),
@@ -157,6 +159,7 @@
 	if err := i.serveAux(s.Metrics, metricsHandler(set)); err != nil {
 		return nil, err
 	}
+	i.addCloser(newMemoryBounds(s.Tuning, i.bodies).Close)
 	go func() {
 		defer close(i.startDone)
 		if err := i.startUp(ctx); err != nil && ctx.Err() == nil {
@@ -223,7 +226,7 @@
 	i.addCloser(i.peerTransport.Close)
 	i.exchange = feed.NewSwap(i.peerTransport, i.picker, i.blocks, i.log, i.set, configFeed, targetFeed)
 	members := fleet.New(
-		fleet.Settings{Self: self, Seeds: i.settings.Seeds, ListPeriod: memberListInterval},
+		fleet.Settings{Self: self, Seeds: i.settings.Tuning.Load().Seeds, ListPeriod: memberListInterval},
 		i.peerTransport, i.deps.Join, i.exchange, i.log, i.set,
 	)
 	i.addCloser(members.Close)
@@ -300,7 +303,7 @@
 func (i *Instance) acceptCallers(members *fleet.Fleet) error {
 	sender := send.New(send.Settings{
 		Retries: i.localRetryBound,
-		Fleet:   i.settings.Retries,
+		Fleet:   func() retry.Bound { return i.settings.Tuning.Load().Retries },
 		Size:    func() int { return i.fleet.Load().View().Len() },
 		Blocks:  i.blocks,
 	}, i.link, i.picker, i.deps.Dialect, i.log, i.set)
@@ -351,7 +354,7 @@
 // localRetryBound returns this instance's share of the fleet's bound on retries. The slack is divided among all known
 // members, including dead ones.
 func (i *Instance) localRetryBound() retry.Bound {
-	bound := i.settings.Retries
+	bound := i.settings.Tuning.Load().Retries
 	slack := localRetryShare * float64(bound.Slack) / float64(max(1, i.fleet.Load().View().Len()))
 	return retry.Bound{Ratio: localRetryShare * bound.Ratio, Slack: int(slack)}
 }
--- a/entry/inst/leave.go
+++ b/entry/inst/leave.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"bramleywharf.example/core/grace"
-	"bramleywharf.example/core/wait"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/internal/conns"
 )
@@ -28,12 +27,12 @@
 func (i *Instance) Leave() {
 	i.leaveOnce.Do(func() {
 		i.log.Info("instance is leaving")
-		i.stopping.Begin(grace.NewPeriod(time.Now(), i.settings.Grace))
+		i.stopping.Begin(grace.NewPeriod(time.Now(), i.grace()))
 		i.mu.Lock()
 		i.leaving = true
 		i.ready.Store(false)
 		i.mu.Unlock()
-		go i.drain(time.Now().Add(i.settings.Grace - graceMargin))
+		go i.drain(time.Now())
 	})
 }
 
@@ -65,12 +64,13 @@
 	}
 }
 
-// drain lets callers move to other instances, waits for open calls until the deadline, and stops the instance. Idle
-// connections are closed at the start, so that their callers' next streams begin where they can end. Calls that are open
-// at the deadline are answered: refused if they have not run, otherwise with an unknown outcome.
-func (i *Instance) drain(deadline time.Time) {
+// drain lets callers move to other instances, waits for open calls until the grace period is over, and stops the instance.
+// Idle connections are closed at the start, so that their callers' next streams begin where they can end. Calls that are
+// open at the end are answered: refused if they have not run, otherwise with an unknown outcome. A grace period that
+// changes meanwhile counts from the same begin.
+func (i *Instance) drain(begun time.Time) {
 	defer close(i.done)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := i.graceContext(begun)
 	defer cancel()
 	callerServer := i.callerServer.Load()
 	if callerServer != nil {
@@ -80,7 +80,10 @@
 	}
 	if members := i.fleet.Load(); members != nil {
 		members.Leave()
-		wait.Sleep(ctx, min(lameDuckTime, time.Duration(lameDuckShare*float64(i.settings.Grace))))
+		left := time.Now()
+		i.sleepUntil(ctx, func(grace time.Duration) time.Time {
+			return left.Add(min(lameDuckTime, time.Duration(lameDuckShare*float64(grace))))
+		})
 	}
 	if callerServer != nil {
 		if err := callerServer.Drain(ctx); err != nil {
--- a/entry/internal/conns/server.go
+++ b/entry/internal/conns/server.go
@@ -115,7 +115,7 @@
 			return nil
 		}
 		if !wait.Sleep(ctx, drainInterval) {
-			return fmt.Errorf("drain %d connections: %w", open, ctx.Err())
+			return fmt.Errorf("drain %d connections: %w", open, context.Cause(ctx))
 		}
 	}
 }
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -113,7 +113,7 @@
 // Settings configures a sender.
 type Settings struct {
 	Retries func() retry.Bound // Retries returns this instance's share of the fleet's limit on retries.
-	Fleet   retry.Bound        // Fleet limits the retries of all instances together.
+	Fleet   func() retry.Bound // Fleet returns the limit on the retries of all instances together.
 	Size    func() int         // Size returns the number of instances, this one included.
 	Blocks  *block.Block       // Blocks holds the parts of prompts that crash targets.
 }
@@ -207,7 +207,7 @@
 			return next, true
 		}
 		used := s.Picker.Used(service)
-		return w.WithOverdraft(now, retry.Overdraft{Requests: used.Requests, Retries: used.Retries, Fleet: s.settings.Fleet, Own: ownShare})
+		return w.WithOverdraft(now, retry.Overdraft{Requests: used.Requests, Retries: used.Retries, Fleet: s.settings.Fleet(), Own: ownShare})
 	})
 	if ok {
 		s.Counts.Repeats.Inc()
--- a/entry/send/send_test.go
+++ b/entry/send/send_test.go
@@ -75,7 +75,7 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			s := newSender(t, Settings{Retries: func() retry.Bound { return own }, Fleet: fleet})
+			s := newSender(t, Settings{Retries: func() retry.Bound { return own }, Fleet: func() retry.Bound { return fleet }})
 			for range test.requests {
 				s.Request("s")
 			}
