stop: a stop that has begun goes by the grace period in force

The line of a request that a stop ends named the grace period of the signal, also after grace_s had changed during the stop, while the stop itself goes by the one in force. stop.Stop now holds the moment of the signal and reads the length where it is used.

--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -121,7 +121,7 @@
 	bodies        *quota.Budget // bodies bounds the memory of the bodies that are held at a time.
 	callerServer  atomic.Pointer[conns.Server]
 	ready         atomic.Bool
-	stopping      stop.Stop
+	stopping      *stop.Stop
 	leaveOnce     sync.Once
 	cancel        context.CancelFunc
 	failed        chan error
@@ -147,6 +147,7 @@
 		startDone: make(chan struct{}),
 		done:      make(chan struct{}),
 	}
+	i.stopping = stop.New(i.grace)
 	if err := link.CheckUserTimeout(); err != nil {
 		logger.WithError(err).Warn("TCP user timeout cannot be set; only keep-alive probes detect dead connections")
 	}
@@ -310,7 +311,7 @@
 	handler := chain.Build(pass.New(sender).Handle,
 		filter.NewTrace(i.log, i.set),
 		filter.NewRecord(i.set, i.log),
-		filter.NewStop(&i.stopping, i.log, i.set),
+		filter.NewStop(i.stopping, i.log, i.set),
 		filter.NewLocate(i.board),
 		filter.Noted{},
 		filter.NewBlock(i.blocks),
--- a/entry/inst/leave.go
+++ b/entry/inst/leave.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"bramleywharf.example/core/grace"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/internal/conns"
 )
@@ -27,7 +26,7 @@
 func (i *Instance) Leave() {
 	i.leaveOnce.Do(func() {
 		i.log.Info("instance is leaving")
-		i.stopping.Begin(grace.NewPeriod(time.Now(), i.grace()))
+		i.stopping.Begin(time.Now())
 		i.mu.Lock()
 		i.leaving = true
 		i.ready.Store(false)
