link, inst: bounds of callers' connections outlast callers' deadlines

What callers saw: a caller that read nothing for 2 s while a long answer was under way, or whose path was silent for 2 s, lost its connection; it got neither an answer nor a refusal, and its line said "caller disconnected".

Cause: inst listened with the bounds that are meant for dead targets: probes after 1 s of silence, TCP_USER_TIMEOUT of 2 s. The latter also ends a connection whose peer keeps its receive window closed.

Change: link.Bounds holds the options of a kind of connection as a value, applied in one place (Dialer, Listen). Callers have their own: probes after 10 s, then each 5 s; 30 s without an acknowledgement. A caller waits for its answer until its deadline (25 s on the sites, 30 s where it states none), so the kernel no longer gives it up first. A caller that has left without a word holds its request's place until the request's own deadline, as before for a caller that acknowledges; writes of events keep their bound of 10 s, and GONE counts from the moment at which the close has reached the machine. Targets' and the store's connections keep their bounds. Readiness, metrics and the directory use the callers' bounds.

--- a/entry/inst/serve.go
+++ b/entry/inst/serve.go
@@ -1,7 +1,6 @@
 package inst
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -31,11 +30,7 @@
 
 // serve listens on an address and serves it in the background.
 func (i *Instance) serve(server interface{ Serve(net.Listener) error }, address string) error {
-	config := net.ListenConfig{
-		KeepAliveConfig: link.KeepAlive(),
-		Control:         link.BoundUnacknowledged,
-	}
-	listener, err := config.Listen(context.Background(), "tcp", address)
+	listener, err := link.CallerBounds().Listen(address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -6,13 +6,11 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"bramleywharf.example/core/quota"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -22,10 +20,6 @@
 	defaultIdleTimeout = 2 * time.Second        // idle time after which a connection is closed if its target gives none
 	idleTimeoutMargin  = 500 * time.Millisecond // subtracted from a target's idle timeout, which is in whole seconds
 	maxIdleConns       = 8                      // idle connections to one target, where a request sets no lower bound
-	tcpUserTimeout     = 2 * time.Second        // TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged
-	keepAliveIdle      = time.Second            // silence before the first TCP keep-alive probe
-	keepAliveInterval  = 500 * time.Millisecond // time between two keep-alive probes
-	keepAliveCount     = 2                      // unanswered keep-alive probes that end a connection
 	readBufferSize     = 4 << 10                // in bytes, for each connection
 	maxStrayResponses  = 3                      // most responses that are read to find the right one
 	maxHeads           = 8                      // most heads that are read for one response, interim ones (1xx) included
@@ -98,7 +92,7 @@
 func New(s Settings, set *metrics.Set) *Link {
 	return &Link{
 		settings:       s,
-		dialer:         Dialer(dialTimeout),
+		dialer:         TargetBounds().Dialer(dialTimeout),
 		openedConns:    set.GetOrCreateCounter("bramleywharf_target_connections_total"),
 		strayResponses: set.GetOrCreateCounter("bramleywharf_stray_responses_total"),
 		staleConns:     set.GetOrCreateCounter("bramleywharf_stale_connections_total"),
@@ -107,44 +101,6 @@
 	}
 }
 
-// Dialer returns a dialer whose connections fail soon after the peer has become unreachable.
-func Dialer(timeout time.Duration) net.Dialer {
-	return net.Dialer{
-		Timeout:         timeout,
-		KeepAliveConfig: KeepAlive(),
-		Control:         BoundUnacknowledged,
-	}
-}
-
-// KeepAlive returns the TCP keep-alive settings that detect a connection whose peer has become unreachable.
-func KeepAlive() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
-}
-
-// CheckUserTimeout returns an error if the kernel does not accept TCP_USER_TIMEOUT; connections then rely on the
-// keep-alive probes alone.
-func CheckUserTimeout() error {
-	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return fmt.Errorf("open a socket: %w", err)
-	}
-	defer func() { _ = unix.Close(fd) }()
-	return setUserTimeout(fd)
-}
-
-// BoundUnacknowledged sets TCP_USER_TIMEOUT on a new socket. It ignores a failure, since the connection works without
-// the option; CheckUserTimeout reports one at the start.
-func BoundUnacknowledged(_, _ string, c syscall.RawConn) error {
-	return c.Control(func(fd uintptr) { _ = setUserTimeout(int(fd)) })
-}
-
-func setUserTimeout(fd int) error {
-	if err := unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds())); err != nil {
-		return fmt.Errorf("set TCP_USER_TIMEOUT: %w", err)
-	}
-	return nil
-}
-
 // Close closes the idle connections.
 func (l *Link) Close() {
 	l.mu.Lock()
