link: the listener takes TCP_USER_TIMEOUT

Cause: Go listens for MPTCP by default, and a socket for MPTCP answers ENOPROTOOPT to TCP_USER_TIMEOUT. The failure is ignored, CheckUserTimeout tries a plain socket and passes, and accepted connections have no bound: bytes to a caller that has left without a word stay in memory until the kernel gives up (15 minutes), and a caller that acknowledges but never reads holds its answer, its share of the memory for bodies and its place for good.

Change: Bounds.Listen listens without MPTCP.

Before: TestSilentCallerIsKeptUntilItsDeadline/default and /mptcp find no bound (0 s) on an accepted connection, /no-mptcp passes. After: all pass. Ruled out: setting the option on each accepted connection, a system call for each. Dialers don't use MPTCP.

--- a/entry/inst/serve_test.go
+++ b/entry/inst/serve_test.go
@@ -49,7 +49,6 @@
 // listen serves an address on loopback as an instance does, and connects to it.
 func listen(t *testing.T, server interface{ Serve(net.Listener) error }) net.Conn {
 	c := quicktest.New(t)
-	t.Setenv("GODEBUG", "multipathtcp=0") // A socket for MPTCP does not take TCP_USER_TIMEOUT.
 	probe, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, quicktest.IsNil)
 	address := probe.Addr().String()
@@ -65,24 +64,31 @@
 // TestSilentCallerIsKeptUntilItsDeadline checks that the kernel keeps an accepted connection whose caller is out of reach,
 // or reads nothing, for as long as callers wait for answers.
 func TestSilentCallerIsKeptUntilItsDeadline(t *testing.T) {
-	c := quicktest.New(t)
-	server := optionServer{make(chan map[int]int, 1)}
-	listen(t, server)
-	options := <-server.options
-	probes := options[unix.TCP_KEEPIDLE] + options[unix.TCP_KEEPCNT]*options[unix.TCP_KEEPINTVL]
-	c.Check(time.Duration(probes)*time.Second >= callerDeadline, quicktest.IsTrue, quicktest.Commentf("probes end it after %d s", probes))
-	if err := link.CheckUserTimeout(); err != nil {
-		t.Logf("user timeout not checked: %v", err)
-		return
+	// A socket for MPTCP, on which Go listens by default, does not take TCP_USER_TIMEOUT.
+	for name, debug := range map[string]string{"default": "", "mptcp": "multipathtcp=2", "no-mptcp": "multipathtcp=0"} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			t.Setenv("GODEBUG", debug)
+			server := optionServer{make(chan map[int]int, 1)}
+			listen(t, server)
+			options := <-server.options
+			probes := options[unix.TCP_KEEPIDLE] + options[unix.TCP_KEEPCNT]*options[unix.TCP_KEEPINTVL]
+			c.Check(time.Duration(probes)*time.Second >= callerDeadline, quicktest.IsTrue, quicktest.Commentf("probes end it after %d s", probes))
+			if err := link.CheckUserTimeout(); err != nil {
+				t.Logf("user timeout not checked: %v", err)
+				return
+			}
+			userTimeout := time.Duration(options[unix.TCP_USER_TIMEOUT]) * time.Millisecond
+			c.Check(userTimeout >= callerDeadline, quicktest.IsTrue, quicktest.Commentf("bytes stay unacknowledged for %v", userTimeout))
+		})
 	}
-	userTimeout := time.Duration(options[unix.TCP_USER_TIMEOUT]) * time.Millisecond
-	c.Check(userTimeout >= callerDeadline, quicktest.IsTrue, quicktest.Commentf("bytes stay unacknowledged for %v", userTimeout))
 }
 
 // TestCallerThatPausesGetsItsAnswer checks that a caller that reads nothing for some seconds gets a long answer whole.
 func TestCallerThatPausesGetsItsAnswer(t *testing.T) {
 	const size = 32 << 20 // More than the buffers of both ends hold.
 	c := quicktest.New(t)
+	t.Setenv("GODEBUG", "multipathtcp=0")
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write(make([]byte, size))
 	})}
--- a/entry/link/bounds.go
+++ b/entry/link/bounds.go
@@ -60,6 +60,7 @@
 // Listen listens on a TCP address for connections with these bounds.
 func (b Bounds) Listen(address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: b.Probes, Control: b.control}
+	config.SetMultipathTCP(false) // Sockets for MPTCP do not take TCP_USER_TIMEOUT.
 	return config.Listen(context.Background(), "tcp", address)
 }
 
