--- a/entry/inst/tuning.go
+++ b/entry/inst/tuning.go
@@ -38,6 +38,7 @@
 	}
 	changed := set()
 	return memoryBounds{wait.Start(func(ctx context.Context) {
+		defer debug.SetMemoryLimit(unset)
 		for {
 			select {
 			case <-ctx.Done():
