conns: a draining server answers connections in its listener's queue

What callers saw: a caller whose connection was established, and whose request was sent, shortly before the end of the lame-duck time got a reset.

Cause: the listener is closed while connections wait in its queue; the kernel resets them with the requests that they carry. A starved instance has more of them.

Change: a listener that is told to stop goes on to accept while poll shows a waiting connection, for 200 ms at most, and closes itself when the queue is empty. Connections on which nothing comes are closed after the settle time, as before.

Ruled out: a deadline alone. Go's Accept looks at it before the queue, and one that fires late while the processor is taken away says nothing of the queue. What is left: a connection that is established between the last look and the close, and a handshake that ends after it.

--- a/entry/internal/conns/server.go
+++ b/entry/internal/conns/server.go
@@ -79,10 +79,9 @@
 	tracked := &listener{Listener: l, server: s, done: make(chan struct{})}
 	s.listener.Store(tracked)
 	defer close(tracked.done)
-	// The server may have stopped before it could close this listener.
+	// The server may have stopped before it could stop this listener.
 	if s.stopped.Load() {
-		_ = l.Close()
-		return http.ErrServerClosed
+		tracked.stop()
 	}
 	err := s.http.Serve(tracked)
 	if s.stopped.Load() {
@@ -129,16 +128,17 @@
 func (s *Server) Close() {
 	s.endCalls(nil)
 	s.sweeper.Close()
-	s.stopAccepting()
+	s.stopped.Store(true)
 	_ = s.http.Close()
 }
 
-// stopAccepting makes Serve return, and returns its listener, or nil if there is none yet.
+// stopAccepting makes Serve return once the connections in the queue of its listener are accepted, and returns that
+// listener, or nil if there is none yet.
 func (s *Server) stopAccepting() *listener {
 	s.stopped.Store(true)
 	l := s.listener.Load()
 	if l != nil {
-		_ = l.Close()
+		l.stop()
 	}
 	return l
 }
@@ -219,23 +219,3 @@
 		"cause":   "the time to stop is over",
 	}).Warn("request was cut by this instance")
 }
-
-// listener tracks the connections that it accepts.
-type listener struct {
-	net.Listener
-	server *Server
-	done   chan struct{} // done is closed when no more connections are accepted.
-}
-
-// Accept returns the next connection.
-func (l *listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := newConn(raw, time.Now(), l.server.crossed)
-	c.onEnd = l.server.recordEnd
-	l.server.open.Store(c, true)
-	l.server.openCount.Add(1)
-	return c, nil
-}
