grace, inst: open calls are ended only in the last sixth of the grace period

What callers saw: with a grace period under 4.2 s a stop ended open calls before the last sixth of it began (3 s: at 2.3 s, the last sixth begins at 2.5 s), so that no cut was excused. Cause: what is left for the shutdown was 700 ms whatever the length of the period; it differs between deployments.

Change: grace.Period decides the times of a stop.

Evidence: TestCallsEndInLastSixth (1 s to 60 s) fails with the margin of before for 1, 1.5, 2, 3, 4 and 4.2 s; TestCallsUseTheGracePeriod (a whole instance, 2 s to 10 s, calls and streams that end in time or hang) failed with it in all eight cases of 2 s and in those that hang of 3 s and 4 s. After: all pass.

Ruled out: a whole instance at 1 s and 2 s in that test. On this machine at a load of 37 timers are up to 174 ms late, more than such a margin, and at times it stands still for over a second; at 1 s it passed in six of eight cases by hand, with the stop itself done 45 ms after the calls were ended.

Beside that load one run of six of the code before failed, too.

--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -147,7 +147,7 @@
 		startDone: make(chan struct{}),
 		done:      make(chan struct{}),
 	}
-	i.stopping = stop.New(i.grace)
+	i.stopping = stop.New(i.graceLength)
 	if err := link.CheckUserTimeout(); err != nil {
 		logger.WithError(err).Warn("TCP user timeout cannot be set; only keep-alive probes detect dead connections")
 	}
--- a/entry/inst/leave.go
+++ b/entry/inst/leave.go
@@ -5,22 +5,11 @@
 	"slices"
 	"time"
 
+	"bramleywharf.example/core/grace"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/internal/conns"
 )
 
-const (
-	// lameDuckTime is how long a leaving instance still accepts connections, so that callers find others first.
-	lameDuckTime = 2500 * time.Millisecond
-	// lameDuckShare bounds that time to a part of the grace period, since the last request has to be answered in the rest.
-	lameDuckShare = 1.0 / 3
-	// graceMargin is the part of the grace period before SIGKILL that is left for the shutdown after the last call.
-	graceMargin = 700 * time.Millisecond
-
-	withdrawTimeout   = 300 * time.Millisecond // withdrawTimeout bounds the removal of the entry, within graceMargin.
-	lastAnswerTimeout = 200 * time.Millisecond // lastAnswerTimeout bounds the answers to open calls, within graceMargin.
-)
-
 // Leave shuts the instance down gracefully: requests that end within the grace period are completed. A start that has not
 // opened the server for callers is ended.
 func (i *Instance) Leave() {
@@ -31,7 +20,7 @@
 		i.leaving = true
 		i.ready.Store(false)
 		i.mu.Unlock()
-		go i.drain(time.Now())
+		go i.drain()
 	})
 }
 
@@ -63,13 +52,12 @@
 	}
 }
 
-// drain lets callers move to other instances, waits for open calls until the grace period is over, and stops the instance.
-// Idle connections are closed at the start, so that their callers' next streams begin where they can end. Calls that are
-// open at the end are answered: refused if they have not run, otherwise with an unknown outcome. A grace period that
-// changes meanwhile counts from the same begin.
-func (i *Instance) drain(begun time.Time) {
+// drain lets callers move to other instances, waits for open calls, and stops the instance. Idle connections are closed at
+// the start, so that their callers' next streams begin where they can end. Calls that are open near the end of the grace
+// period are answered: refused if they have not run, otherwise with an unknown outcome.
+func (i *Instance) drain() {
 	defer close(i.done)
-	ctx, cancel := i.graceContext(begun)
+	ctx, cancel := i.callsContext()
 	defer cancel()
 	callerServer := i.callerServer.Load()
 	if callerServer != nil {
@@ -80,9 +68,7 @@
 	if members := i.fleet.Load(); members != nil {
 		members.Leave()
 		left := time.Now()
-		i.sleepUntil(ctx, func(grace time.Duration) time.Time {
-			return left.Add(min(lameDuckTime, time.Duration(lameDuckShare*float64(grace))))
-		})
+		i.sleepUntil(ctx, func(p grace.Period) time.Time { return left.Add(p.LameDuck()) })
 	}
 	if callerServer != nil {
 		if err := callerServer.Drain(ctx); err != nil {
@@ -91,7 +77,7 @@
 		}
 	}
 	// The deadline may have passed while calls were open.
-	ctx, cancel = context.WithTimeout(context.Background(), withdrawTimeout)
+	ctx, cancel = context.WithTimeout(context.Background(), i.period().WithdrawTime())
 	defer cancel()
 	if err := i.deps.Join.Withdraw(ctx); err != nil {
 		i.log.WithError(err).Info("entry of this instance cannot be removed from the store; leaving it there")
@@ -103,7 +89,7 @@
 // endCalls has open calls answered, and waits for their connections to close.
 func (i *Instance) endCalls(callerServer *conns.Server) {
 	callerServer.EndCalls(chain.ErrStopping)
-	ctx, cancel := context.WithTimeout(context.Background(), lastAnswerTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), i.period().AnswerTime())
 	defer cancel()
 	if err := callerServer.Drain(ctx); err != nil {
 		i.log.WithError(err).Warn("closing connections with open calls")
--- a/entry/inst/tuning.go
+++ b/entry/inst/tuning.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 	"time"
 
+	"bramleywharf.example/core/grace"
 	"bramleywharf.example/core/quota"
 	"bramleywharf.example/core/wait"
 )
@@ -50,16 +51,22 @@
 	})}
 }
 
-// grace returns the grace period in force.
-func (i *Instance) grace() time.Duration {
+// graceLength returns the length of the grace period in force.
+func (i *Instance) graceLength() time.Duration {
 	return i.settings.Tuning.Load().Grace
 }
 
+// period returns the grace period of a stop that has begun, with the length in force.
+func (i *Instance) period() grace.Period {
+	p, _ := i.stopping.Period()
+	return p
+}
+
 // sleepUntil waits until a time that depends on the grace period in force, and returns false if the context ends first.
-func (i *Instance) sleepUntil(ctx context.Context, end func(grace time.Duration) time.Time) bool {
+func (i *Instance) sleepUntil(ctx context.Context, end func(grace.Period) time.Time) bool {
 	for {
 		changed := i.settings.Tuning.Changed()
-		timer := time.NewTimer(time.Until(end(i.grace())))
+		timer := time.NewTimer(time.Until(end(i.period())))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -72,13 +79,11 @@
 	}
 }
 
-// graceContext returns a context that ends when the grace period in force has passed since a stop began, but for
-// graceMargin.
-func (i *Instance) graceContext(begun time.Time) (context.Context, context.CancelFunc) {
+// callsContext returns a context that ends when the calls that are open in a stop have to end.
+func (i *Instance) callsContext() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	go func() {
-		end := func(grace time.Duration) time.Time { return begun.Add(grace - graceMargin) }
-		if i.sleepUntil(ctx, end) {
+		if i.sleepUntil(ctx, grace.Period.CallsEnd) {
 			cancel(context.DeadlineExceeded)
 		}
 	}()
