--- a/entry/chain/stopped.go
+++ b/entry/chain/stopped.go
@@ -13,7 +13,7 @@
 	Events int // Events is the number of events that the caller has.
 }
 
-// Work is the sealed set of what a call was doing when it was ended: Arriving, Between, Queued and Running.
+// Work is the sealed set of what a call was doing when it was ended: Arriving, Rejected, Between, Queued and Running.
 type Work interface {
 	isWork()
 }
@@ -21,6 +21,9 @@
 // Arriving means that the body of the request was not whole.
 type Arriving struct{}
 
+// Rejected means that the request was not begun, since it could not end.
+type Rejected struct{}
+
 // Between means that no target had the request.
 type Between struct{}
 
@@ -38,6 +41,7 @@
 type Unread struct{}
 
 func (Arriving) isWork() {}
+func (Rejected) isWork() {}
 func (Between) isWork()  {}
 func (Queued) isWork()   {}
 func (Running) isWork()  {}
--- a/entry/filter/stop.go
+++ b/entry/filter/stop.go
@@ -75,6 +75,8 @@
 	switch w := w.(type) {
 	case chain.Arriving:
 		return "arriving", ""
+	case chain.Rejected:
+		return "rejected", ""
 	case chain.Between:
 		return "between", ""
 	case chain.Queued:
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -314,6 +314,7 @@
 		filter.NewStop(i.stopping, i.log, i.set),
 		filter.NewLocate(i.board),
 		filter.Noted{},
+		filter.NewReject(i.stopping, i.othersStay),
 		filter.NewBlock(i.blocks),
 	)
 	limits := i.board.Config().Limits
