flight: a stream does not leave a sound target for one at which the stop would end it

What callers saw: a leaving instance offered streams that were silent or queued to other targets, as at any time. At the end of the grace period such a stream waits in a queue, is between two targets or reads its prompt again, and its cut is not excused as that of a stream whose target is at work.

Evidence: TestStreamsOfLeavingInstance; without the decision silent-between-events, queued-between-events and silent-without-head fail: they are read anew at the second target. A stream whose target is lost still goes on elsewhere, as does one of a route without an estimate.

--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -132,18 +132,7 @@
 // interruptedBy returns the outcome of an attempt that err has ended: the reason why it was given up, or the end of its
 // connection.
 func interruptedBy(err error) interrupted {
-	switch {
-	case errors.Is(err, guard.ErrUnreachable):
-		return interrupted{cause: err.Error(), endedBy: chain.EndedByProbe}
-	case errors.Is(err, guard.ErrStreamLost):
-		return interrupted{cause: err.Error(), endedBy: chain.EndedByReport}
-	case errors.Is(err, guard.ErrQueued):
-		return interrupted{cause: err.Error(), endedBy: chain.EndedByQueue}
-	case errors.Is(err, guard.ErrStalled):
-		return interrupted{cause: err.Error(), endedBy: chain.EndedBySilence}
-	default:
-		return interrupted{cause: err.Error(), endedBy: chain.EndedByTarget}
-	}
+	return interrupted{cause: err.Error(), endedBy: guard.Ending(err)}
 }
 
 // advance handles a step of an attempt. It returns the outcome if that was the last one, otherwise nil.
--- a/entry/flight/ending.go
+++ b/entry/flight/ending.go
@@ -134,7 +134,7 @@
 	case ctx.Err() == nil:
 		return s.finalAnswer(reason)
 	case errors.Is(context.Cause(ctx), chain.ErrStopping):
-		return chain.Stopped{Answer: s.finalAnswer(chain.ErrStopping.Error()), Work: work, Events: s.eventCount}
+		return s.stoppedAnswer(work)
 	case hasTimeLeft(ctx):
 		return chain.Left{}
 	case s.head.IsSent() || s.failedResponse != nil || !s.mayHaveRun:
@@ -144,6 +144,11 @@
 	}
 }
 
+// stoppedAnswer returns the answer of a stream that ends since the instance stops.
+func (s *stream) stoppedAnswer(work chain.Work) chain.Answer {
+	return chain.Stopped{Answer: s.finalAnswer(chain.ErrStopping.Error()), Work: work, Events: s.eventCount}
+}
+
 // work returns what the stream was doing when an attempt ended, which may be the only one.
 func (s *stream) work(ended *attempt, result outcome) chain.Work {
 	a := s.current
--- a/entry/flight/move.go
+++ b/entry/flight/move.go
@@ -30,7 +30,8 @@
 }
 
 // considerMove offers the stream to another target for a silence of the current one, if it can go on elsewhere. The
-// current attempt stays open until the other target takes the stream.
+// current attempt stays open until the other target takes the stream. A stream that the stop of this instance would end
+// there does not leave a target that may be at work.
 func (s *stream) considerMove(ctx context.Context, report guard.Silence) {
 	if report.LastEvent != s.current.monitor.LastEvent() {
 		return
@@ -41,6 +42,10 @@
 		return
 	}
 	s.nextOfferAt = now.Add(moveCheckInterval)
+	if _, isLost := report.Doubt().(retry.Lost); !isLost && s.sender.Stop.Cuts(s.call.Route.Name, s.request.Received, s.request.Deadline) {
+		s.keep("the instance stops before the stream would end elsewhere")
+		return
+	}
 	switch step := retry.Decide(s).(type) {
 	case retry.Stay:
 		s.keep(step.Reason)
--- a/entry/flight/stopped_test.go
+++ b/entry/flight/stopped_test.go
@@ -10,6 +10,9 @@
 	"github.com/frankban/quicktest"
 )
 
+// stopPeriod is the grace period.
+const stopPeriod = 8 * time.Second
+
 // queueTime is a time after which a stream without an event is known to wait in its target's queue.
 const queueTime = 3500 * time.Millisecond
 
@@ -67,3 +70,65 @@
 		})
 	}
 }
+
+// TestStreamsOfLeavingInstance guards against streams that leave a sound target for one at which the stop would end them.
+func TestStreamsOfLeavingInstance(t *testing.T) {
+	const length, silence = 10 * time.Second, 5 * time.Second
+	const (
+		goesOn = "goes on" // goesOn is a stream that is whole at its first target.
+		moves  = "moves"   // moves is one that is whole at its second target.
+	)
+	cases := map[string]struct {
+		first   behaviour
+		unknown bool // unknown tells that no request of the route has finished.
+		lost    bool // lost makes the first target unreachable after a while.
+		want    string
+	}{
+		"silent-between-events":                   {first: behaviour{haltAt: 3}, want: goesOn},
+		"silent-between-events-of-unknown-length": {first: behaviour{haltAt: 3}, unknown: true, want: moves},
+		"queued-between-events":                   {first: behaviour{haltAt: 3, queued: true}, want: goesOn},
+		"silent-without-head":                     {first: behaviour{begin: make(chan struct{})}, want: goesOn},
+		"lost-between-events":                     {first: behaviour{haltAt: 3}, lost: true, want: moves},
+		"lost-without-head-of-unknown-length":     {first: behaviour{begin: make(chan struct{})}, lost: true, unknown: true, want: moves},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, "a", "b")
+			if !test.unknown {
+				for range 10 {
+					w.sender.Stop.Learn("", length)
+				}
+			}
+			resume := make(chan struct{})
+			first := test.first
+			if first.begin != nil {
+				first.begin = resume
+			} else {
+				first.resume = resume
+			}
+			for _, target := range w.targets {
+				w.behave(target.Name, first)
+			}
+			caller := &caller{}
+			runner, answers := w.start(w.c.Context(), caller)
+			w.behave(w.others(runner)[0], behaviour{})
+			w.sender.Stop.Begin(time.Now())
+			time.AfterFunc(silence, func() { close(resume) })
+			if test.lost {
+				time.Sleep(200 * time.Millisecond)
+				w.servers[runner].Listener.Close()
+				w.servers[runner].CloseClientConnections()
+			}
+			answer := <-answers
+			switch test.want {
+			case goesOn:
+				w.assertWhole(answer, caller)
+				w.c.Assert(w.seen(), quicktest.HasLen, 1)
+			case moves:
+				w.assertWhole(answer, caller)
+				w.c.Assert(w.seen(), quicktest.HasLen, 2)
+			}
+		})
+	}
+}
--- a/entry/flight/world_test.go
+++ b/entry/flight/world_test.go
@@ -20,6 +20,7 @@
 	"bramleywharf.example/entry/link"
 	"bramleywharf.example/entry/picker"
 	"bramleywharf.example/entry/send"
+	"bramleywharf.example/entry/stop"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -106,6 +107,7 @@
 		Fleet:   func() retry.Bound { return bound },
 		Size:    func() int { return 1 },
 		Blocks:  block.New(logger, set),
+		Stop:    stop.New(stop.Settings{Grace: func() time.Duration { return stopPeriod }}),
 	}, targetLink, targetPicker, plainDialect{}, logger, set)
 	w.waitUntil(func() bool { return targetPicker.HasSound(picker.Want{Service: testService}) })
 	return w
--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -59,6 +59,22 @@
 	}
 }
 
+// Ending returns what ended an attempt, by its error.
+func Ending(err error) chain.Ending {
+	switch {
+	case errors.Is(err, ErrUnreachable):
+		return chain.EndedByProbe
+	case errors.Is(err, ErrStreamLost):
+		return chain.EndedByReport
+	case errors.Is(err, ErrQueued):
+		return chain.EndedByQueue
+	case errors.Is(err, ErrStalled):
+		return chain.EndedBySilence
+	default:
+		return chain.EndedByTarget
+	}
+}
+
 // Subject is the attempt of a stream that a monitor watches.
 type Subject struct {
 	Sender       *send.Sender
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -147,7 +147,7 @@
 		startDone: make(chan struct{}),
 		done:      make(chan struct{}),
 	}
-	i.stopping = stop.New(i.graceLength)
+	i.stopping = stop.New(stop.Settings{Grace: i.graceLength, Elsewhere: i.othersStay})
 	if err := link.CheckUserTimeout(); err != nil {
 		logger.WithError(err).Warn("TCP user timeout cannot be set; only keep-alive probes detect dead connections")
 	}
@@ -307,6 +307,7 @@
 		Fleet:   func() retry.Bound { return i.settings.Tuning.Load().Retries },
 		Size:    func() int { return i.fleet.Load().View().Len() },
 		Blocks:  i.blocks,
+		Stop:    i.stopping,
 	}, i.link, i.picker, i.deps.Dialect, i.log, i.set)
 	handler := chain.Build(pass.New(sender).Handle,
 		filter.NewTrace(i.log, i.set),
@@ -314,7 +315,7 @@
 		filter.NewStop(i.stopping, i.log, i.set),
 		filter.NewLocate(i.board),
 		filter.Noted{},
-		filter.NewReject(i.stopping, i.othersStay),
+		filter.NewReject(i.stopping),
 		filter.NewBlock(i.blocks),
 	)
 	limits := i.board.Config().Limits
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -17,6 +17,7 @@
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/link"
 	"bramleywharf.example/entry/picker"
+	"bramleywharf.example/entry/stop"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 )
@@ -116,6 +117,7 @@
 	Fleet   func() retry.Bound // Fleet returns the limit on the retries of all instances together.
 	Size    func() int         // Size returns the number of instances, this one included.
 	Blocks  *block.Block       // Blocks holds the parts of prompts that crash targets.
+	Stop    *stop.Stop         // Stop is that of this instance.
 }
 
 // Sender holds what requests to targets share: the connections, the choice of targets, retry limits and metrics.
@@ -126,6 +128,7 @@
 	Log          log.Interface
 	Counts       Counts
 	Blocks       *block.Block
+	Stop         *stop.Stop
 	settings     Settings
 	startedAt    time.Time
 	paces        sync.Map // paces maps each service to an *atomic.Pointer[flow.PauseEstimate].
@@ -165,6 +168,7 @@
 		Dialect:   d,
 		Log:       logger,
 		Blocks:    s.Blocks,
+		Stop:      s.Stop,
 		settings:  s,
 		startedAt: time.Now(),
 		Counts: Counts{
--- a/entry/stop/stop.go
+++ b/entry/stop/stop.go
@@ -9,16 +9,23 @@
 	"bramleywharf.example/core/grace"
 )
 
+// Settings configures a stop.
+type Settings struct {
+	Grace func() time.Duration // Grace returns the length of the grace period in force.
+	// Elsewhere reports whether a caller that comes back most likely reaches an instance that stays.
+	Elsewhere func() bool
+}
+
 // Stop is the planned stop of an instance.
 type Stop struct {
-	length func() time.Duration
-	began  atomic.Pointer[time.Time]
-	routes sync.Map // routes maps the name of each route to an *atomic.Pointer[grace.Lengths].
+	settings Settings
+	began    atomic.Pointer[time.Time]
+	routes   sync.Map // routes maps the name of each route to an *atomic.Pointer[grace.Lengths].
 }
 
-// New returns the stop of an instance that has got no signal; length returns the length of the grace period in force.
-func New(length func() time.Duration) *Stop {
-	return &Stop{length: length}
+// New returns the stop of an instance that has got no signal to stop.
+func New(s Settings) *Stop {
+	return &Stop{settings: s}
 }
 
 // Begin records that the signal to stop has come.
@@ -32,7 +39,7 @@
 	if began == nil {
 		return grace.Period{}, false
 	}
-	return grace.NewPeriod(*began, s.length()), true
+	return grace.NewPeriod(*began, s.settings.Grace()), true
 }
 
 // Learn records how long a finished request of a route took.
@@ -50,6 +57,11 @@
 	return !s.lengths(route).Load().Fits(now.Sub(began), p.CallsEnd().Sub(now))
 }
 
+// Rejects reports whether the stop most likely ends such a request and its caller is better served elsewhere.
+func (s *Stop) Rejects(route string, began, deadline time.Time) bool {
+	return s.Cuts(route, began, deadline) && s.settings.Elsewhere()
+}
+
 // lengths returns the pointer to the lengths of a route's requests.
 func (s *Stop) lengths(route string) *atomic.Pointer[grace.Lengths] {
 	if l, ok := s.routes.Load(route); ok {
--- a/entry/stop/stop_test.go
+++ b/entry/stop/stop_test.go
@@ -31,7 +31,7 @@
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := New(func() time.Duration { return period })
+				s := New(Settings{Grace: func() time.Duration { return period }, Elsewhere: func() bool { return true }})
 				for range 10 {
 					s.Learn("known", length)
 				}
