flight: a stream that cannot end before the stop is answered when this is known

What callers saw: a stream of a leaving instance whose target was lost before its first event was sent to another target, and one that waited in a queue waited on, also if the stop would end either. The caller got its 502 or 503 at the end of the grace period, with up to eight seconds of its time gone.

A stream whose caller has the head goes on as before: only its connection could be closed.

Evidence: TestStreamsOfLeavingInstance; without the decision queued-without-head and lost-without-head fail (whole at the first or the second target, though the estimate says that the stop would end them there). Without other instances, or without an estimate, both go on as before.

--- a/entry/flight/ending.go
+++ b/entry/flight/ending.go
@@ -149,6 +149,11 @@
 	return chain.Stopped{Answer: s.finalAnswer(chain.ErrStopping.Error()), Work: work, Events: s.eventCount}
 }
 
+// isBetterElsewhere reports whether the caller is better served elsewhere, as the instance stops and no event was sent.
+func (s *stream) isBetterElsewhere() bool {
+	return !s.head.IsSent() && s.sender.Stop.Rejects(s.call.Route.Name, s.request.Received, s.request.Deadline)
+}
+
 // work returns what the stream was doing when an attempt ended, which may be the only one.
 func (s *stream) work(ended *attempt, result outcome) chain.Work {
 	a := s.current
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -125,6 +125,9 @@
 	defer s.reservation.Return()
 	defer s.closeAttempts()
 	for {
+		if s.sendCount+s.unsentCount > 0 && s.isBetterElsewhere() {
+			return s.stoppedAnswer(chain.Between{})
+		}
 		pick, from, ok := s.chooseTarget(ctx)
 		if !ok {
 			return s.giveUp(ctx, chain.Between{}, "no target of the service is left")
@@ -151,7 +154,7 @@
 	case step := <-s.next.steps():
 		return s.handleOffer(ctx, step)
 	case report := <-s.current.silences():
-		s.considerMove(ctx, report)
+		return s.considerMove(ctx, report)
 	case <-s.overlap.Check():
 		s.overlap = s.overlap.WithQuestion(ctx, s.sender, s.next.pick.Target, s.call.ID)
 	case state := <-s.overlap.State():
--- a/entry/flight/move.go
+++ b/entry/flight/move.go
@@ -32,19 +32,23 @@
 // considerMove offers the stream to another target for a silence of the current one, if it can go on elsewhere. The
 // current attempt stays open until the other target takes the stream. A stream that the stop of this instance would end
 // there does not leave a target that may be at work.
-func (s *stream) considerMove(ctx context.Context, report guard.Silence) {
+func (s *stream) considerMove(ctx context.Context, report guard.Silence) (chain.Answer, bool) {
 	if report.LastEvent != s.current.monitor.LastEvent() {
-		return
+		return nil, false
 	}
 	s.silence, s.current.silence = report, report
+	if s.waits() && s.isBetterElsewhere() {
+		s.mayHaveRun = true
+		return s.stoppedAnswer(s.work(s.current, nil)), true
+	}
 	now := time.Now()
 	if s.next != nil || now.Before(s.nextOfferAt) {
-		return
+		return nil, false
 	}
 	s.nextOfferAt = now.Add(moveCheckInterval)
 	if _, isLost := report.Doubt().(retry.Lost); !isLost && s.sender.Stop.Cuts(s.call.Route.Name, s.request.Received, s.request.Deadline) {
 		s.keep("the instance stops before the stream would end elsewhere")
-		return
+		return nil, false
 	}
 	switch step := retry.Decide(s).(type) {
 	case retry.Stay:
@@ -54,13 +58,14 @@
 		if pick, from, ok := s.nextTarget(ctx); ok {
 			s.next = s.open(ctx, pick, from)
 			s.overlap = offer.NewOverlap()
-			return
+			return nil, false
 		}
 		s.reservation.Return()
 		if s.waits() {
 			s.postponeOffer("no other target can begin at once")
 		}
 	}
+	return nil, false
 }
 
 // handleOffer handles the first step of the attempt that may take the place of the current one.
--- a/entry/flight/stopped_test.go
+++ b/entry/flight/stopped_test.go
@@ -71,30 +71,39 @@
 	}
 }
 
-// TestStreamsOfLeavingInstance guards against streams that leave a sound target for one at which the stop would end them.
+// TestStreamsOfLeavingInstance guards against streams that leave a sound target for one at which the stop would end them, or
+// that wait for the end of the grace period although it is known that they cannot end.
 func TestStreamsOfLeavingInstance(t *testing.T) {
 	const length, silence = 10 * time.Second, 5 * time.Second
 	const (
-		goesOn = "goes on" // goesOn is a stream that is whole at its first target.
-		moves  = "moves"   // moves is one that is whole at its second target.
+		goesOn   = "goes on"            // goesOn is a stream that is whole at its first target.
+		moves    = "moves"              // moves is one that is whole at its second target.
+		answered = "answered meanwhile" // answered is one that is refused before its target goes on.
 	)
 	cases := map[string]struct {
 		first   behaviour
 		unknown bool // unknown tells that no request of the route has finished.
+		alone   bool
 		lost    bool // lost makes the first target unreachable after a while.
 		want    string
+		work    chain.Work
 	}{
 		"silent-between-events":                   {first: behaviour{haltAt: 3}, want: goesOn},
 		"silent-between-events-of-unknown-length": {first: behaviour{haltAt: 3}, unknown: true, want: moves},
 		"queued-between-events":                   {first: behaviour{haltAt: 3, queued: true}, want: goesOn},
+		"queued-without-head":                     {first: behaviour{begin: make(chan struct{}), queued: true}, want: answered, work: chain.Queued{}},
+		"queued-without-head-alone":               {first: behaviour{begin: make(chan struct{}), queued: true}, alone: true, want: goesOn},
 		"silent-without-head":                     {first: behaviour{begin: make(chan struct{})}, want: goesOn},
 		"lost-between-events":                     {first: behaviour{haltAt: 3}, lost: true, want: moves},
+		"lost-without-head":                       {first: behaviour{begin: make(chan struct{})}, lost: true, want: answered, work: chain.Between{}},
+		"lost-without-head-alone":                 {first: behaviour{begin: make(chan struct{})}, lost: true, alone: true, want: moves},
 		"lost-without-head-of-unknown-length":     {first: behaviour{begin: make(chan struct{})}, lost: true, unknown: true, want: moves},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			w := newWorld(t, "a", "b")
+			w.alone = test.alone
 			if !test.unknown {
 				for range 10 {
 					w.sender.Stop.Learn("", length)
@@ -128,6 +137,20 @@
 			case moves:
 				w.assertWhole(answer, caller)
 				w.c.Assert(w.seen(), quicktest.HasLen, 2)
+			case answered:
+				stopped, ok := answer.(chain.Stopped)
+				w.c.Assert(ok, quicktest.IsTrue, quicktest.Commentf("%#v", answer))
+				if _, isQueued := test.work.(chain.Queued); isQueued {
+					test.work = chain.Queued{Target: runner}
+				}
+				w.c.Check(stopped.Work, quicktest.Equals, test.work)
+				w.c.Check(stopped.Answer.(chain.Refused).Refusal.Executed, quicktest.Equals, deny.ExecutedUnknown)
+				w.c.Assert(w.seen(), quicktest.HasLen, 1)
+				select {
+				case <-resume:
+					w.c.Error("the answer waited for the target")
+				default:
+				}
 			}
 		})
 	}
--- a/entry/flight/world_test.go
+++ b/entry/flight/world_test.go
@@ -68,6 +68,7 @@
 	servers map[string]*httptest.Server
 
 	maxAttempts int  // maxAttempts is that of the route, or 0 for 5.
+	alone       bool // alone tells that no other instance takes callers.
 	atMostOnce  bool // atMostOnce tells that streams may not be resumed.
 
 	mu         sync.Mutex
@@ -107,7 +108,7 @@
 		Fleet:   func() retry.Bound { return bound },
 		Size:    func() int { return 1 },
 		Blocks:  block.New(logger, set),
-		Stop:    stop.New(stop.Settings{Grace: func() time.Duration { return stopPeriod }}),
+		Stop:    stop.New(stop.Settings{Grace: func() time.Duration { return stopPeriod }, Elsewhere: func() bool { return !w.alone }}),
 	}, targetLink, targetPicker, plainDialect{}, logger, set)
 	w.waitUntil(func() bool { return targetPicker.HasSound(picker.Want{Service: testService}) })
 	return w
