flight: a stream that may run once waits in its queue while the instance stops

A case more of TestStreamsOfLeavingInstance: its caller could not come back, so that an early 502 would be no gain. It held on the code before, since no queue is reported for such a stream.

--- a/entry/flight/stopped_test.go
+++ b/entry/flight/stopped_test.go
@@ -84,6 +84,7 @@
 		first   behaviour
 		unknown bool // unknown tells that no request of the route has finished.
 		alone   bool
+		once    bool // once tells that the stream may not be resumed.
 		lost    bool // lost makes the first target unreachable after a while.
 		want    string
 		work    chain.Work
@@ -92,6 +93,7 @@
 		"silent-between-events-of-unknown-length": {first: behaviour{haltAt: 3}, unknown: true, want: moves},
 		"queued-between-events":                   {first: behaviour{haltAt: 3, queued: true}, want: goesOn},
 		"queued-without-head":                     {first: behaviour{begin: make(chan struct{}), queued: true}, want: answered, work: chain.Queued{}},
+		"queued-without-head-at-most-once":        {first: behaviour{begin: make(chan struct{}), queued: true}, once: true, want: goesOn},
 		"queued-without-head-alone":               {first: behaviour{begin: make(chan struct{}), queued: true}, alone: true, want: goesOn},
 		"silent-without-head":                     {first: behaviour{begin: make(chan struct{})}, want: goesOn},
 		"lost-between-events":                     {first: behaviour{haltAt: 3}, lost: true, want: moves},
@@ -103,7 +105,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			w := newWorld(t, "a", "b")
-			w.alone = test.alone
+			w.alone, w.atMostOnce = test.alone, test.once
 			if !test.unknown {
 				for range 10 {
 					w.sender.Stop.Learn("", length)
