conns: requests that were read together are all answered

What callers saw: of several requests in one write those behind the first got no answer when the instance left during it, whose answer said Connection: close; and a request that was read with the one before was aborted without an answer ("crossed") when the connection was closed as idle in between.

Cause: net/http reads past the end of a request into its buffer, and nobody outside it knows. The connection counted as idle, and the answer of a leaving server as the last, while a request waited in that buffer.

Change: framer finds the ends of heads and bodies of stated length in the bytes read and holds back what follows them, so the number of bytes of later requests is known. A connection with such bytes is not idle; a leaving server announces the close only when nothing more was read or waits in the kernel, whose bytes would be reset with the connection and the answer before them.

Behind a body in chunks the framer knows no ends, and a request that was read with it is still aborted if its connection closes in between.

Ruled out: peeking at the socket before each read, one more system call for each request; parsing chunks, which would repeat more of net/http.

--- a/entry/internal/conns/conn.go
+++ b/entry/internal/conns/conn.go
@@ -12,6 +12,7 @@
 // conn is a caller's connection. Its goroutine in net/http moves it from phase to phase; any goroutine may close it.
 type conn struct {
 	net.Conn
+	framer    framer
 	phase     atomic.Pointer[phase]
 	announced time.Duration // announced is the idle limit of the last answer's head; only the goroutine in net/http uses it.
 	crossed   *metrics.Counter
@@ -37,7 +38,7 @@
 
 // Read returns bytes only if the connection is not being closed.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	n, err := c.framer.read(c.Conn, b)
 	c.noteEnd(err)
 	if n > 0 && !c.receive(n) {
 		c.crossed.Inc()
@@ -92,12 +93,23 @@
 	return c.receive(headBytes)
 }
 
-// rest moves the connection to idle, under the limit that the last answer has announced, unless it has been closed.
+// rest moves the connection to idle, under the limit that the last answer has announced, unless it has been closed. Bytes
+// of the next request that were read with the last one count as received now.
 func (c *conn) rest(now time.Time) {
 	p := c.phase.Load()
-	if _, isClosed := (*p).(closed); !isClosed {
-		c.phase.CompareAndSwap(p, newPhase(idle{since: now, limit: c.announced}))
+	if _, isClosed := (*p).(closed); isClosed {
+		return
 	}
+	next := phase(idle{since: now, limit: c.announced})
+	if ahead := int(c.framer.ahead.Load()); ahead > 0 {
+		next = received(next, ahead, now)
+	}
+	c.phase.CompareAndSwap(p, newPhase(next))
+}
+
+// hasNext reports whether bytes of a request after the one in hand have arrived.
+func (c *conn) hasNext() bool {
+	return c.framer.ahead.Load() > 0 || link.HasInput(c.Conn)
 }
 
 // closeUnused closes the connection if a rule allows it, and reports whether it did. A connection with input that
--- a/entry/internal/conns/server.go
+++ b/entry/internal/conns/server.go
@@ -192,11 +192,12 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		// The request may have been read together with the one before.
+		// The request may have been read together with one before it whose body has no stated length.
 		if !c.begin() {
 			s.crossed.Inc()
 			panic(http.ErrAbortHandler)
 		}
+		c.framer.expectBody(r.ContentLength)
 		id := r.Header.Get(s.settings.IDHeader)
 		c.request.Store(&id)
 		defer c.request.Store(nil)
--- a/entry/internal/conns/writer.go
+++ b/entry/internal/conns/writer.go
@@ -54,8 +54,12 @@
 	}
 	w.announced = true
 	if w.server.leaving.Load() {
+		w.conn.announced = 0
 		w.Header().Del("Keep-Alive")
-		w.Header().Set("Connection", "close")
+		// The next request has been read or would be reset with its connection, so its answer ends the connection.
+		if !w.conn.hasNext() {
+			w.Header().Set("Connection", "close")
+		}
 		return
 	}
 	w.conn.announced = w.server.settings.IdleLimit()
