conns: heads of requests go by the timeout in force

Cause: http.Server.ReadHeaderTimeout is read from the version with which the instance started, and the connection is closed when it passes.

The wrapper of a caller's connection now sees where a head begins, since outside of handlers net/http sets a deadline in the future only then, and sets the deadline by the limits in force. When the deadline passes and the limit has been raised meanwhile, it reads on. A head that is arriving keeps the wider of the limit at its begin and the one in force, as its caller may go by either. A head that is too slow gets 408, which is true: nothing of it has run and the connection is read no more. A connection on which nothing has arrived is closed without a word, as before. Deadlines of handlers (bodies) pass through.

The case header_timeout_ms of TestChangesTakeEffect fails before as well. TestHeadTimeoutInForce holds raised, lowered, set and removed timeouts, before and during a head, on new and kept connections.

Seen once: TestDrain had no answer within 10 s in one run of the package beside other runs at a load of 35. 100 runs of it alone and 12 of the package passed, as did 12 of the code before; not traced.

--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -318,16 +318,15 @@
 		filter.NewReject(i.stopping),
 		filter.NewBlock(i.blocks),
 	)
-	limits := i.board.Config().Limits
 	callerServer := conns.New(
 		conns.Settings{
 			IdleLimit: func() time.Duration { return i.board.Config().Limits.IdleTimeout },
+			Head:      func() conns.HeadLimits { return conns.HeadLimits{Timeout: i.board.Config().Limits.HeaderTimeout} },
 			IDHeader:  i.deps.EchoHeader,
 		},
 		&http.Server{
-			Handler:           boundMemory(i.bodies, i.deps.Front(handler, i.board)),
-			ReadHeaderTimeout: limits.HeaderTimeout,
-			MaxHeaderBytes:    limits.HeaderBytes,
+			Handler:        boundMemory(i.bodies, i.deps.Front(handler, i.board)),
+			MaxHeaderBytes: i.board.Config().Limits.HeaderBytes,
 		},
 		i.log, i.set,
 	)
--- a/entry/internal/conns/conn.go
+++ b/entry/internal/conns/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,11 @@
 	request   atomic.Pointer[string]                         // request is the id of the request in progress, or nil.
 	ended     atomic.Bool                                    // ended tells that onEnd was called.
 	onEnd     func(request *string, end link.End, err error) // onEnd is called when the caller or the kernel has ended the connection.
+
+	limits   func() HeadLimits              // limits returns the limits in force.
+	refused  func(status int, cause string) // refused records the refusal of a head.
+	handling atomic.Bool                    // handling tells that a handler runs, which sets read deadlines of its own.
+	head     *head                          // head is nil unless one is being read; only the reading goroutine uses it.
 }
 
 var (
@@ -36,15 +42,22 @@
 	return c
 }
 
-// Read returns bytes only if the connection is not being closed.
+// Read returns bytes only if the connection is not being closed. A head that is too slow is refused.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.framer.read(c.Conn, b)
-	c.noteEnd(err)
-	if n > 0 && !c.receive(n) {
-		c.crossed.Inc()
-		return 0, net.ErrClosed
+	for {
+		n, err := c.framer.read(c.Conn, b)
+		if n > 0 && !c.receive(n) {
+			c.crossed.Inc()
+			return 0, net.ErrClosed
+		}
+		if n > 0 || c.head == nil || !isTimeout(err) {
+			c.noteEnd(err)
+			return n, err
+		}
+		if !c.extendHead() {
+			return 0, c.refuseHead(http.StatusRequestTimeout, "its head took too long")
+		}
 	}
-	return n, err
 }
 
 // Write sends bytes of an answer.
@@ -96,6 +109,7 @@
 // rest moves the connection to idle, under the limit that the last answer has announced, unless it has been closed. Bytes
 // of the next request that were read with the last one count as received now.
 func (c *conn) rest(now time.Time) {
+	c.handling.Store(false)
 	p := c.phase.Load()
 	if _, isClosed := (*p).(closed); isClosed {
 		return
--- a/entry/internal/conns/frame.go
+++ b/entry/internal/conns/frame.go
@@ -13,13 +13,13 @@
 	ahead atomic.Int64 // ahead is the number of bytes of later requests that are held or were handed over.
 }
 
-// part is the sealed set of parts of the bytes on a connection: head, content and unframed.
+// part is the sealed set of parts of the bytes on a connection: header, content and unframed.
 type part interface {
 	isPart()
 }
 
-// head ends with an empty line.
-type head struct {
+// header is the head of a request, which ends with an empty line.
+type header struct {
 	line lineState
 }
 
@@ -31,7 +31,7 @@
 // unframed is all that follows the head of a request whose body has no stated length.
 type unframed struct{}
 
-func (head) isPart()     {}
+func (header) isPart()   {}
 func (content) isPart()  {}
 func (unframed) isPart() {}
 
@@ -61,7 +61,7 @@
 	if count == 0 {
 		return 0, err
 	}
-	if _, isHead := f.part.(head); isHead || f.part == nil {
+	if _, isHead := f.part.(header); isHead || f.part == nil {
 		f.ahead.Add(int64(count))
 	}
 	n, endsHead := f.take(b[:count])
@@ -84,15 +84,15 @@
 			f.part = content{left: left}
 		}
 		return len(b), false
-	case head:
+	case header:
 		return f.takeHead(p, b)
 	default:
-		return f.takeHead(head{}, b)
+		return f.takeHead(header{}, b)
 	}
 }
 
 // takeHead is take for a head.
-func (f *framer) takeHead(h head, b []byte) (n int, endsHead bool) {
+func (f *framer) takeHead(h header, b []byte) (n int, endsHead bool) {
 	for i, c := range b {
 		switch {
 		case c == '\n' && h.line != inLine:
--- a/entry/internal/conns/listen.go
+++ b/entry/internal/conns/listen.go
@@ -50,6 +50,7 @@
 		}
 		c := newConn(raw, time.Now(), l.server.crossed)
 		c.onEnd = l.server.recordEnd
+		c.limits, c.refused = l.server.settings.Head, l.server.reportRefusal
 		l.server.open.Store(c, true)
 		l.server.openCount.Add(1)
 		return c, nil
--- a/entry/internal/conns/server.go
+++ b/entry/internal/conns/server.go
@@ -26,6 +26,7 @@
 // Settings configures a server.
 type Settings struct {
 	IdleLimit func() time.Duration // IdleLimit returns how long a connection may be idle; 0 means without limit.
+	Head      func() HeadLimits    // Head returns the limits of heads; without it, those of the HTTP server are used.
 	IDHeader  string               // IDHeader names the header of a request's id, for the log, or is empty.
 }
 
@@ -60,6 +61,11 @@
 		cut:       set.GetOrCreateCounter("bramleywharf_requests_cut_total"),
 		ends:      link.NewEndCounts(set, "bramleywharf_caller_connections_ended_total"),
 	}
+	if s.Head == nil {
+		limits := HeadLimits{Timeout: httpServer.ReadHeaderTimeout}
+		server.settings.Head = func() HeadLimits { return limits }
+	}
+	httpServer.ReadHeaderTimeout = headMarker
 	httpServer.Handler = server.guard(httpServer.Handler)
 	ctx, endCalls := context.WithCancelCause(context.Background())
 	server.endCalls = endCalls
@@ -68,7 +74,7 @@
 	httpServer.ConnState = server.trackState
 	server.sweeper = wait.Start(func(ctx context.Context) {
 		for wait.Sleep(ctx, sweepInterval) {
-			server.sweep(overLimit{limit: s.IdleLimit(), head: httpServer.ReadHeaderTimeout}, time.Now())
+			server.sweep(overLimit{limit: s.IdleLimit(), head: server.settings.Head().Timeout}, time.Now())
 		}
 	})
 	return server
@@ -201,6 +207,7 @@
 		id := r.Header.Get(s.settings.IDHeader)
 		c.request.Store(&id)
 		defer c.request.Store(nil)
+		c.handling.Store(true)
 		defer s.reportCut(c, r)
 		guarded := &writer{ResponseWriter: w, server: s, conn: c}
 		next.ServeHTTP(guarded, r)
@@ -220,3 +227,8 @@
 		"cause":   "the time to stop is over",
 	}).Warn("request was cut by this instance")
 }
+
+// reportRefusal logs a request that has not been read whole.
+func (s *Server) reportRefusal(status int, cause string) {
+	s.log.WithFields(log.Fields{"status": status, "cause": cause}).Info("refused a request over a limit")
+}
