conns, inst: heads of requests go by the size limit in force

Cause: http.Server.MaxHeaderBytes is read from the version with which the instance started.

The wrapper of a caller's connection counts the bytes of a head and compares them with the wider of the limit at its begin and the one in force, as it does for the timeout. A head that is too large gets 431 and nothing more is read. As in net/http 4 KiB more are let through, since reads take up to 4 KiB with parts of a body. http.Server.MaxHeaderBytes is a fixed 256 KiB for any version, which also bounds heads without end if a version sets no limit (net/http's default of 1 MiB did before); a version that allows more is named in a warning.

Evidence: the case max_header_bytes of TestChangesTakeEffect fails on the code before, where 200,000 bytes get 431 after the limit was raised. TestHeadBytesInForce holds raised, lowered and removed limits before and during a head, on new and kept connections; TestEndlessHeadEnds holds the fixed bound.

--- a/core/site/config.go
+++ b/core/site/config.go
@@ -71,9 +71,13 @@
 	HasPriority bool // HasPriority is set if Priority is given.
 }
 
+// MaxHeaderBytes bounds the headers of a request whatever a version allows, in bytes. A hundred requests at a time with
+// headers of this size take a quarter of the memory of the smallest machines.
+const MaxHeaderBytes = 256 << 10
+
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes   int // HeaderBytes limits the headers, in bytes.
+	HeaderBytes   int // HeaderBytes limits the headers, in bytes, up to MaxHeaderBytes.
 	BodyBytes     int // BodyBytes limits the body, in bytes.
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration // IdleTimeout is how long a caller's connection may stay idle.
--- a/entry/board/board.go
+++ b/entry/board/board.go
@@ -71,4 +71,7 @@
 		fields["old-version"] = old.Version
 	}
 	b.log.WithFields(fields).Info("configuration applied")
+	if next.Limits.HeaderBytes > site.MaxHeaderBytes {
+		b.log.WithFields(fields).WithField("limit", site.MaxHeaderBytes).Warn("version allows larger headers than this program takes")
+	}
 }
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -12,6 +12,7 @@
 	"bramleywharf.example/core/peer"
 	"bramleywharf.example/core/quota"
 	"bramleywharf.example/core/retry"
+	"bramleywharf.example/core/site"
 	"bramleywharf.example/core/wire"
 	"bramleywharf.example/entry/block"
 	"bramleywharf.example/entry/board"
@@ -321,12 +322,12 @@
 	callerServer := conns.New(
 		conns.Settings{
 			IdleLimit: func() time.Duration { return i.board.Config().Limits.IdleTimeout },
-			Head:      func() conns.HeadLimits { return conns.HeadLimits{Timeout: i.board.Config().Limits.HeaderTimeout} },
+			Head:      i.headLimits,
 			IDHeader:  i.deps.EchoHeader,
 		},
 		&http.Server{
 			Handler:        boundMemory(i.bodies, i.deps.Front(handler, i.board)),
-			MaxHeaderBytes: i.board.Config().Limits.HeaderBytes,
+			MaxHeaderBytes: site.MaxHeaderBytes,
 		},
 		i.log, i.set,
 	)
@@ -346,6 +347,12 @@
 	return nil
 }
 
+// headLimits returns the limits of the version in force on heads of requests.
+func (i *Instance) headLimits() conns.HeadLimits {
+	limits := i.board.Config().Limits
+	return conns.HeadLimits{Timeout: limits.HeaderTimeout, Bytes: limits.HeaderBytes}
+}
+
 // addCloser registers the function that closes a component when the instance stops.
 func (i *Instance) addCloser(closer func()) {
 	i.mu.Lock()
--- a/entry/internal/conns/conn.go
+++ b/entry/internal/conns/conn.go
@@ -25,6 +25,7 @@
 	refused  func(status int, cause string) // refused records the refusal of a head.
 	handling atomic.Bool                    // handling tells that a handler runs, which sets read deadlines of its own.
 	head     *head                          // head is nil unless one is being read; only the reading goroutine uses it.
+	early    int                            // early bytes have been read since the last answer, before the head has begun.
 }
 
 var (
@@ -42,14 +43,23 @@
 	return c
 }
 
-// Read returns bytes only if the connection is not being closed. A head that is too slow is refused.
+// Read returns bytes only if the connection is not being closed. A head that is too slow or too large is refused.
 func (c *conn) Read(b []byte) (int, error) {
 	for {
+		if c.head != nil && c.head.isTooLarge(c.limits()) {
+			return 0, c.refuseHead(http.StatusRequestHeaderFieldsTooLarge, "its head is too large")
+		}
 		n, err := c.framer.read(c.Conn, b)
 		if n > 0 && !c.receive(n) {
 			c.crossed.Inc()
 			return 0, net.ErrClosed
 		}
+		switch {
+		case c.head != nil:
+			c.head.bytes += n
+		case !c.handling.Load():
+			c.early += n
+		}
 		if n > 0 || c.head == nil || !isTimeout(err) {
 			c.noteEnd(err)
 			return n, err
@@ -110,6 +120,7 @@
 // of the next request that were read with the last one count as received now.
 func (c *conn) rest(now time.Time) {
 	c.handling.Store(false)
+	c.early = 0
 	p := c.phase.Load()
 	if _, isClosed := (*p).(closed); isClosed {
 		return
--- a/entry/internal/conns/head.go
+++ b/entry/internal/conns/head.go
@@ -13,6 +13,8 @@
 const (
 	// headMarker is the header timeout of net/http, which shows where a head begins and is not applied itself.
 	headMarker = time.Hour
+	// headSlack is what may arrive beyond the limit on bytes, as net/http reads up to 4 KiB at once, with parts of a body.
+	headSlack = 4 << 10
 	// refusalTimeout bounds the write of a refusal.
 	refusalTimeout = time.Second
 	// resetDelay is the time between a refusal and the close of its connection. A close with unread input resets the
@@ -23,20 +25,27 @@
 // HeadLimits bound the head of a request.
 type HeadLimits struct {
 	Timeout time.Duration // Timeout bounds the time until the head is whole; 0 means without limit.
+	Bytes   int           // Bytes bounds its size, within that of the HTTP server; 0 means without limit.
 }
 
 // with returns the wider of two limits.
 func (l HeadLimits) with(other HeadLimits) HeadLimits {
-	if l.Timeout == 0 || other.Timeout == 0 {
-		return HeadLimits{}
+	return HeadLimits{Timeout: wider(l.Timeout, other.Timeout), Bytes: wider(l.Bytes, other.Bytes)}
+}
+
+// wider returns the larger of two limits; 0 means without limit.
+func wider[T int | time.Duration](a, b T) T {
+	if a == 0 || b == 0 {
+		return 0
 	}
-	return HeadLimits{Timeout: max(l.Timeout, other.Timeout)}
+	return max(a, b)
 }
 
 // head is the head of a request that is being read.
 type head struct {
 	since  time.Time
 	limits HeadLimits // limits are those at its begin, which its caller may go by if they have been lowered since.
+	bytes  int        // bytes have been read of it, with what came before it.
 }
 
 // deadline returns the time by which the head has to be whole, or zero if it may take any time.
@@ -48,6 +57,12 @@
 	return h.since.Add(limits.Timeout)
 }
 
+// isTooLarge reports whether more bytes have been read than the head may have.
+func (h head) isTooLarge(inForce HeadLimits) bool {
+	limits := h.limits.with(inForce)
+	return limits.Bytes > 0 && h.bytes >= limits.Bytes+headSlack
+}
+
 // SetReadDeadline sets the deadline of reads, except for a head, whose deadline follows the limits in force. Outside of
 // handlers, net/http sets a deadline in the future only when a head begins.
 func (c *conn) SetReadDeadline(t time.Time) error {
@@ -55,7 +70,7 @@
 		return c.Conn.SetReadDeadline(t)
 	}
 	if now := time.Now(); t.After(now) {
-		c.head = &head{since: now, limits: c.limits()}
+		c.head = &head{since: now, limits: c.limits(), bytes: c.early}
 		t = c.head.deadline(c.head.limits)
 	} else if t.IsZero() {
 		c.head = nil
--- a/entry/internal/conns/server.go
+++ b/entry/internal/conns/server.go
@@ -62,7 +62,7 @@
 		ends:      link.NewEndCounts(set, "bramleywharf_caller_connections_ended_total"),
 	}
 	if s.Head == nil {
-		limits := HeadLimits{Timeout: httpServer.ReadHeaderTimeout}
+		limits := HeadLimits{Timeout: httpServer.ReadHeaderTimeout, Bytes: httpServer.MaxHeaderBytes}
 		server.settings.Head = func() HeadLimits { return limits }
 	}
 	httpServer.ReadHeaderTimeout = headMarker
