local, opts: settings with numbers that are out of range are rejected

A settings file that is read again may hold any value. An infinite grace_s, a negative budget_slack or a negative memory_mb passed the check and would have come into force: a stop that ends at once, no repeats, no bound on memory.

--- a/core/opts/env.go
+++ b/core/opts/env.go
@@ -9,7 +9,10 @@
 	"github.com/spf13/pflag"
 )
 
-const envPrefix = "BRAMLEYWHARF_"
+const (
+	envPrefix = "BRAMLEYWHARF_"
+	maxNumber = 1e9 // maxNumber bounds numbers so that as many seconds are still a duration.
+)
 
 // ErrInvalid is wrapped by the error that lists every invalid setting.
 var ErrInvalid = errors.New("invalid settings")
@@ -58,3 +61,13 @@
 		c.AddFault(format, args...)
 	}
 }
+
+// RequirePositive adds a fault unless a number is above 0.
+func (c *Checks) RequirePositive(name string, value float64) {
+	c.Require(value > 0 && value <= maxNumber, "%s %v is not above 0, or over %v", name, value, maxNumber)
+}
+
+// RequireNotNegative adds a fault if a number is below 0.
+func (c *Checks) RequireNotNegative(name string, value float64) {
+	c.Require(value >= 0 && value <= maxNumber, "%s %v is below 0, or over %v", name, value, maxNumber)
+}
