--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -37,3 +37,15 @@
 		})
 	}
 }
+
+// TestPart guards against a part that stays as it was when its cell changes.
+func TestPart(t *testing.T) {
+	c := quicktest.New(t)
+	whole := New([]string{"first", "second"})
+	part := NewPart(whole, func(s []string) string { return s[1] })
+	c.Assert(part.Load(), quicktest.Equals, "second")
+	changed := part.Changed()
+	whole.Update(func([]string) []string { return []string{"first", "third"} })
+	<-changed
+	c.Assert(part.Load(), quicktest.Equals, "third")
+}
