--- a/core/grace/lengths.go
+++ b/core/grace/lengths.go
@@ -4,7 +4,7 @@
 
 const (
 	recentCount = 32 // recentCount is the number of requests that an estimate rests on; streams differ by a factor of ten.
-	minCount    = 8  // minCount is the number of requests without which there is no estimate.
+	minCount    = 3  // minCount is the number of requests without which there is no estimate.
 )
 
 // Lengths holds how long the last finished requests of a route took. Its values are never changed; the zero value has
