boot, front: calls that are open after the drain timeout are answered

Change: boot ends the contexts of open calls with chain.ErrStopping and gives them a second; the front answers a call that ended for that cause with 502 (executed: unknown), and a stream that has begun with an error event. Its generation runs on for a while, and its caller may resume it elsewhere by its last event id, as before.

Evidence: TestOpenCallsAreAnsweredAfterDrainTimeout; before, both cases ended with EOF.

--- a/entry/internal/boot/instance.go
+++ b/entry/internal/boot/instance.go
@@ -13,6 +13,7 @@
 	"bramleywharf.example/core/peer"
 	"bramleywharf.example/core/store"
 	"bramleywharf.example/core/wire"
+	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/internal/admin"
 	"bramleywharf.example/entry/internal/conns"
 	"bramleywharf.example/entry/internal/engine"
@@ -25,6 +26,7 @@
 const (
 	readHeaderTimeout   = 5 * time.Second // readHeaderTimeout bounds the time that a client may take to send its headers.
 	platformDialTimeout = time.Second     // platformDialTimeout bounds the wait for a connection to the platform.
+	lastAnswerTimeout   = time.Second     // lastAnswerTimeout bounds the answers to calls that are open after the drain timeout.
 	maxHeaderBytes      = 32 << 10        // maxHeaderBytes bounds the headers of a request.
 )
 
@@ -108,7 +110,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.DrainTimeout)
 	defer cancel()
 	if err := i.callerServer.Drain(ctx); err != nil {
-		i.log.WithError(err).Error("drain timeout passed; closing the remaining connections")
+		i.log.WithError(err).Error("drain timeout passed; ending open calls")
+		i.callerServer.EndCalls(chain.ErrStopping)
+		ctx, cancel := context.WithTimeout(context.Background(), lastAnswerTimeout)
+		defer cancel()
+		if err := i.callerServer.Drain(ctx); err != nil {
+			i.log.WithError(err).Error("closing connections with open calls")
+		}
 	}
 	i.stop()
 	i.log.Info("stopped")
--- a/entry/internal/boot/instance_test.go
+++ b/entry/internal/boot/instance_test.go
@@ -318,6 +318,37 @@
 	})
 }
 
+// TestOpenCallsAreAnsweredAfterDrainTimeout guards against calls that are cut without an answer when the drain timeout has
+// passed.
+func TestOpenCallsAreAnsweredAfterDrainTimeout(t *testing.T) {
+	longRequest := strings.Replace(streamRequest, "30", "5000", 1)
+	cases := map[string]struct {
+		body   string
+		status int
+		text   string
+	}{
+		"unstreamed": {strings.Replace(longRequest, "true", "false", 1), 502, `"executed":"unknown"`},
+		"stream":     {longRequest, 200, "event: error"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			fleet := newTestFleet(t, 1)
+			fleet.eventually(func() bool {
+				status, _ := fleet.call(0, "POST", "/v1/completions", "north-key", streamRequest, nil)
+				return status == 200
+			})
+			instance := fleet.instances[0]
+			instance.settings.DrainTimeout = 300 * time.Millisecond
+			time.AfterFunc(200*time.Millisecond, instance.Leave)
+			status, body := fleet.call(0, "POST", "/v1/completions", "north-key", test.body, nil)
+			fleet.c.Check(status, quicktest.Equals, test.status)
+			fleet.c.Check(body, quicktest.Contains, test.text)
+			fleet.c.Check(body, quicktest.Not(quicktest.Contains), "[DONE]")
+			<-instance.Done()
+		})
+	}
+}
+
 // TestOperators checks which paths of the admin address need the operator key, and that no answer shows a secret.
 func TestOperators(t *testing.T) {
 	fleet := newTestFleet(t, 1)
--- a/entry/internal/front/complete.go
+++ b/entry/internal/front/complete.go
@@ -89,14 +89,14 @@
 	}
 	s := newStream(w, c.ID, request.Model)
 	c.Sink = s
-	s.finish(f.handler(r.Context(), c))
+	s.finish(atStop(r.Context(), f.handler(r.Context(), c)))
 }
 
 // runUnstreamed runs a completion to its end and writes it as one JSON body.
 func (f *Front) runUnstreamed(w http.ResponseWriter, r *http.Request, c chain.Call, model string) {
 	sink := &collector{}
 	c.Sink = sink
-	answer := f.handler(r.Context(), c)
+	answer := atStop(r.Context(), f.handler(r.Context(), c))
 	streamed, ok := answer.(chain.Streamed)
 	if !ok {
 		writeAnswer(w, answer)
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -11,6 +12,7 @@
 	"bramleywharf.example/core/deny"
 	"bramleywharf.example/entry/body"
 	"bramleywharf.example/entry/chain"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -82,7 +84,15 @@
 
 // runCall runs a call that is not streamed and writes its answer.
 func (f *Front) runCall(w http.ResponseWriter, r *http.Request, c chain.Call) {
-	writeAnswer(w, f.handler(r.Context(), c))
+	writeAnswer(w, atStop(r.Context(), f.handler(r.Context(), c)))
+}
+
+// atStop returns the answer of a call, or a refusal for a caller that is still there since the instance stops.
+func atStop(ctx context.Context, answer chain.Answer) chain.Answer {
+	if _, left := answer.(chain.Left); left && errors.Is(context.Cause(ctx), chain.ErrStopping) {
+		return chain.Refuse(deny.New(deny.KindOutcome, "%v", chain.ErrStopping).WithExecuted(deny.ExecutedUnknown))
+	}
+	return answer
 }
 
 // newCall returns a call for a chain request, with a new id and the caller's credential. The credential may also be
