link: connections to targets outlive a pause of two seconds

What callers saw: a stream or request at a sound target was broken off when the target's host or its path was silent for 1.4 to 2 s, or when a single probe was lost while the stream waited in silence.

Cause: Linux sends unacknowledged bytes again after 0.2, 0.6 and 1.4 s and, with TCP_USER_TIMEOUT, ends the connection at 2 s, before it would send again. On a silent connection the option replaces the count of probes: one probe at 1 s, and the end at 2 s, since probes are counted in whole seconds and the second, meant for 1.5 s, has no turn.

Change: 3.5 s for unacknowledged bytes, so that they are sent again at 3 s, and three probes a second apart. Silence of a target whose kernel answers is judged as before by the bounds on events and answers.

--- a/entry/link/bounds.go
+++ b/entry/link/bounds.go
@@ -11,10 +11,12 @@
 )
 
 const (
-	targetProbeIdle      = time.Second            // silence of a target before the first TCP keep-alive probe
-	targetProbeInterval  = 500 * time.Millisecond // time between two probes of a target
-	targetProbeCount     = 2                      // unanswered probes that end a connection to a target
-	targetUnacknowledged = 2 * time.Second        // how long bytes sent to a target may stay unacknowledged
+	// A sound target, or its path, may be silent for two seconds. Unacknowledged bytes are sent again after 0.2, 0.6, 1.4
+	// and 3 s, and a lost probe is followed by another a second later; the kernel counts probes in whole seconds.
+	targetProbeIdle      = time.Second             // silence of a target before the first TCP keep-alive probe
+	targetProbeInterval  = time.Second             // time between two probes of a target
+	targetProbeCount     = 3                       // unanswered probes that end a connection to a target
+	targetUnacknowledged = 3500 * time.Millisecond // how long bytes sent to a target may stay unacknowledged
 
 	// A caller waits for its answer until its deadline, 25 s and less on the sites and 30 s where it states none, and may
 	// meanwhile read nothing or be out of reach. Callers that have left without a word cost no more than their requests.
@@ -32,7 +34,7 @@
 	Unacknowledged time.Duration
 }
 
-// TargetBounds returns the bounds for connections to targets and to the store, which are sound only if they answer at once.
+// TargetBounds returns the bounds for connections to targets and to the store, which are given up soon after they fail.
 func TargetBounds() Bounds {
 	return Bounds{
 		Probes: net.KeepAliveConfig{
