flight: a silent stream is not left for an answer that may be empty

Callers saw: a stream cut after its last event, though its target was sound and only silent for a second or more before the end of the answer.

Cause: the silent attempt ended as another target sent the head of its answer. A stream that has all its events gets no event from the other target, and an answer with neither a length nor chunks does not show that it is complete, so that it does not count as the end. One attempt after the other went this way until they were used up.

TestSilentEndIsKept/ended-by-close fails on the code before (cut); ended-by-a-chunk passes before and after.

Change: if the caller has the head, and the other answer states neither its type nor its end, the silent attempt goes on until the first event of the other answer arrives. The other target's report still ends it once that one is seen to work, so that two targets do not work on one stream for longer than before.

Ruled out: to take an empty answer without a length for the end, as TestForeignTextInStream/next-closes-after-its-head forbids.

--- a/entry/flight/move.go
+++ b/entry/flight/move.go
@@ -68,11 +68,21 @@
 	return nil, false
 }
 
-// handleOffer handles the first step of the attempt that may take the place of the current one.
+// handleOffer handles a step of the attempt that may take the place of the current one. The current one ends as the other
+// target begins to answer; if that answer may have no event and not show its end, as its first event arrives.
 func (s *stream) handleOffer(ctx context.Context, step offer.Step) (chain.Answer, bool) {
+	if _, ok := step.(offer.Event); ok {
+		if answer, done := s.move(ctx); done {
+			return answer, true
+		}
+		return s.handleStep(ctx, step)
+	}
 	refused := s.next
 	result := s.advance(refused, step)
 	if result == nil {
+		if s.head.IsSent() && !refused.accepted.StatesLength() {
+			return nil, false
+		}
 		return s.move(ctx)
 	}
 	s.next, s.overlap = nil, offer.Overlap{}
