feed: small fleets send new configurations at a bounded rate too

What callers saw: beside a storm of versions with many routes the 99th percentile of a caller's round trip rose from 78 to 275 ms.

Cause: the allowance for pages of configurations held in fleets of more than 16 instances only. In smaller ones the instances that watch the store send the whole configuration to all others at once, over links of 10 Mbit/s that also carry the answers to callers.

Change: the allowance holds in all fleets.

After: 100 and 312 KB, one page each, applied everywhere in time. The rest of ./entry/feed passes with -race -cpu 1.

Pages of changes alone, or compressed, would mend that.

--- a/entry/feed/burst_test.go
+++ b/entry/feed/burst_test.go
@@ -85,10 +85,12 @@
 		size  int // size is the number of instances.
 		bytes int // bytes is the size of the configuration.
 	}{
-		"fleet-of-76":               {size: 76, bytes: 13 << 10},
-		"fleet-of-89":               {size: 89, bytes: 13 << 10},
-		"fleet-of-76-with-routes":   {size: 76, bytes: 48 << 10},
-		"fleet-of-76-with-hundreds": {size: 76, bytes: 100 << 10},
+		"fleet-of-16-with-hundreds":  {size: 16, bytes: 100 << 10},
+		"fleet-of-16-with-thousands": {size: 16, bytes: 312 << 10},
+		"fleet-of-76":                {size: 76, bytes: 13 << 10},
+		"fleet-of-89":                {size: 89, bytes: 13 << 10},
+		"fleet-of-76-with-routes":    {size: 76, bytes: 48 << 10},
+		"fleet-of-76-with-hundreds":  {size: 76, bytes: 100 << 10},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/entry/feed/swap.go
+++ b/entry/feed/swap.go
@@ -174,7 +174,7 @@
 // to wait pulls again, from another instance that has the page by then.
 func (s *Swap) maySend(f *Feed, page mirror.Page) bool {
 	size := pageBytes(page)
-	if size == 0 || !f.settings.Urgent || f.inSmallFleet() {
+	if size == 0 || !f.settings.Urgent {
 		return true
 	}
 	return cell.TryUpdate(&s.allowance, func(a allowance) (allowance, bool) { return a.withPage(size, time.Now()) })
