hack: tries that end with a killed instance are counted apart

A stream that was cut with its killed instance counted as one without a line, beside those that no line explains.

--- a/hack/cut-tries.py
+++ b/hack/cut-tries.py
@@ -63,6 +63,7 @@
 
 
 def bench_counts(output):
+    """Returns how many tries ended in each way, or None if the day has no result."""
     match = re.search(r"^how tries ended: (.*)", output, re.M)
     if not match:
         return None
@@ -158,15 +159,12 @@
         totals[end.way, re.sub(r"[\w-]*\d[\w-]*", "#", end.clause)] += 1
         if end.is_finding():
             print(f"{name}: {end.way}: {end.clause}: {end.line.at:.3f} s {end.line.instance} {json.dumps(end.line.fields)}")
-    # A try without an answer and without a line was never read, or its instance was killed.
-    unread = counts["cut, no answer"] - sum(end.way == "cut, no answer" for end in ends)
-    if unread > 0:
-        kills = killed(lines)
-        totals["cut, no answer", "no line, instances killed" if kills else "no line: not read"] += unread
-    # A stream that is cut at its deadline counts as such on the bench.
-    unnamed = counts["cut in the answer"] - sum(end.way == "cut in the answer" for end in ends)
-    if unnamed > 0:
-        totals["cut in the answer", "no line"] += unnamed
+    # A request that was never read leaves no line, nor does one whose instance was killed.
+    kills = killed(lines)
+    for way, reason in (("cut, no answer", "no line: not read"), ("cut in the answer", "no line")):
+        without_line = counts[way] - sum(end.way == way and end.clause != DEADLINE for end in ends)
+        if without_line > 0:
+            totals[way, "no line, instances killed" if kills else reason] += without_line
     broken = re.search(r"^rules broken: (.*)", output, re.M)
     if broken:
         print(f"{name}: rules broken: {broken[1]}")
