--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -203,7 +203,7 @@
 		s.wentOn = true
 		s.begins.Answered()
 	}
-	if err := s.deliver(a, e); errors.Is(err, errFirstEventTimeout) {
+	if err := s.deliver(a, e); errors.Is(err, offer.ErrFirstEventTimeout) {
 		return expired{}
 	} else if err != nil {
 		return callerGone{}
@@ -231,7 +231,7 @@
 func (s *stream) deliver(a *attempt, e offer.Event) error {
 	if !s.head.IsSent() {
 		if !s.head.Send() {
-			return errFirstEventTimeout
+			return offer.ErrFirstEventTimeout
 		}
 		if err := s.request.Outlet.Begin(a.accepted.Head); err != nil {
 			return fmt.Errorf("send head: %w", err)
--- a/entry/flight/ending.go
+++ b/entry/flight/ending.go
@@ -8,6 +8,7 @@
 	"bramleywharf.example/core/deny"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/guard"
+	"bramleywharf.example/entry/offer"
 	"bramleywharf.example/entry/send"
 	"github.com/apex/log"
 	"github.com/pkg/errors"
@@ -135,7 +136,7 @@
 		return s.finalAnswer(reason)
 	case errors.Is(context.Cause(ctx), chain.ErrStopping):
 		return s.stoppedAnswer(work)
-	case hasTimeLeft(ctx):
+	case offer.HasTimeLeft(ctx):
 		return chain.Left{}
 	case s.head.IsSent() || s.failedResponse != nil || !s.mayHaveRun:
 		return s.finalAnswer(reason)
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -15,7 +15,6 @@
 	"bramleywharf.example/entry/offer"
 	"bramleywharf.example/entry/picker"
 	"bramleywharf.example/entry/send"
-	"github.com/pkg/errors"
 )
 
 const (
@@ -78,7 +77,7 @@
 	if at, ok := send.Timeout(c, f); ok {
 		timer := time.AfterFunc(time.Until(at), func() {
 			if s.head.Expire() {
-				expire(errFirstEventTimeout)
+				expire(offer.ErrFirstEventTimeout)
 			}
 		})
 		defer timer.Stop()
@@ -86,15 +85,6 @@
 	return s.run(ctx)
 }
 
-// errFirstEventTimeout ends a stream that had no event within its route's timeout.
-var errFirstEventTimeout = errors.New("the route's timeout passed before the first event")
-
-// hasTimeLeft reports whether neither the deadline nor the timeout for the first event has passed. When the context
-// of a stream ends with time left, its caller is gone.
-func hasTimeLeft(ctx context.Context) bool {
-	return ctx.Err() == nil || !errors.Is(ctx.Err(), context.DeadlineExceeded) && !errors.Is(context.Cause(ctx), errFirstEventTimeout)
-}
-
 // newStream returns a stream whose request has not been sent.
 func newStream(sender *send.Sender, c chain.Call, f chain.Forward, policy site.Stream) *stream {
 	s := &stream{
--- a/entry/offer/head.go
+++ b/entry/offer/head.go
@@ -1,6 +1,11 @@
 package offer
 
-import "sync/atomic"
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
 
 // States of the head of a response.
 const (
@@ -29,3 +34,12 @@
 func (h *Head) Expire() bool {
 	return h.state.CompareAndSwap(headAwaited, headExpired)
 }
+
+// ErrFirstEventTimeout ends a stream that had no event within its route's timeout.
+var ErrFirstEventTimeout = errors.New("the route's timeout passed before the first event")
+
+// HasTimeLeft reports whether neither the deadline nor the timeout for the first event has passed. When the context
+// of a stream ends with time left, its caller is gone.
+func HasTimeLeft(ctx context.Context) bool {
+	return ctx.Err() == nil || !errors.Is(ctx.Err(), context.DeadlineExceeded) && !errors.Is(context.Cause(ctx), ErrFirstEventTimeout)
+}
