member, inst: a leaving instance that cannot reach most others keeps its requests

Found by review. othersStay counted the addresses that callers are told, which include lost instances when half or more seem lost: with four members, one that leaves and two dead, callers were to be sent away though one instance was left. View.MostStay counts alive members that do not leave. TestMostStay holds the rule; its cases most-are-lost, most-in-doubt and one-other-lost are those that the addresses got wrong.

--- a/core/member/view.go
+++ b/core/member/view.go
@@ -73,6 +73,12 @@
 	return available
 }
 
+// MostStay reports whether at least half of the members are alive and not leaving, so that a caller that comes back most
+// likely reaches one that stays.
+func (v View) MostStay() bool {
+	return 2*len(v.Available()) >= v.Len()
+}
+
 // CallerAddresses returns the caller addresses of the alive members that are not leaving, without self unless it is
 // ready. If half of the members or more seem lost, self is more likely cut off, and the lost ones are included.
 func (v View) CallerAddresses(self string, ready bool) []string {
--- a/core/member/view_test.go
+++ b/core/member/view_test.go
@@ -113,6 +113,34 @@
 	}
 }
 
+// TestMostStay guards against callers that are sent away by a leaving instance while most others are lost or leave too.
+func TestMostStay(t *testing.T) {
+	m := func(name string, s State, leaving bool) Member {
+		return Member{Name: name, Incarnation: 1, State: s, Leaving: leaving}
+	}
+	cases := map[string]struct {
+		others []Member // others are the members beside one that is leaving.
+		want   bool
+	}{
+		"alone":          {nil, false},
+		"all-stay":       {[]Member{m("b", Alive, false), m("c", Alive, false), m("d", Alive, false)}, true},
+		"half-stay":      {[]Member{m("b", Alive, false), m("c", Alive, false), m("d", Alive, true)}, true},
+		"most-leave":     {[]Member{m("b", Alive, false), m("c", Alive, true), m("d", Alive, true)}, false},
+		"most-are-lost":  {[]Member{m("b", Alive, false), m("c", Dead, false), m("d", Dead, false)}, false},
+		"most-in-doubt":  {[]Member{m("b", Alive, false), m("c", Suspect, false), m("d", Suspect, false)}, false},
+		"one-other-lost": {[]Member{m("b", Dead, false)}, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			var v View
+			for _, member := range append(test.others, m("a", Alive, true)) {
+				v, _ = v.WithMember(member)
+			}
+			quicktest.Assert(t, v.MostStay(), quicktest.Equals, test.want)
+		})
+	}
+}
+
 func TestCallerAddresses(t *testing.T) {
 	m := func(name string, s State, leaving bool) Member {
 		return Member{Name: name, CallerAddress: name, Incarnation: 1, State: s, Leaving: leaving}
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -148,7 +148,7 @@
 		startDone: make(chan struct{}),
 		done:      make(chan struct{}),
 	}
-	i.stopping = stop.New(stop.Settings{Grace: i.graceLength, Elsewhere: i.othersStay})
+	i.stopping = stop.New(stop.Settings{Grace: i.graceLength, Elsewhere: func() bool { return i.fleet.Load().View().MostStay() }})
 	if err := link.CheckUserTimeout(); err != nil {
 		logger.WithError(err).Warn("TCP user timeout cannot be set; only keep-alive probes detect dead connections")
 	}
--- a/entry/inst/leave.go
+++ b/entry/inst/leave.go
@@ -96,12 +96,6 @@
 	}
 }
 
-// othersStay reports whether at least half of the instances still take callers, so that a caller that comes back most
-// likely reaches one that does.
-func (i *Instance) othersStay() bool {
-	return 2*len(i.callerAddresses()) >= i.fleet.Load().View().Len()
-}
-
 // stop closes all components in reverse order of their start.
 func (i *Instance) stop() {
 	i.cancel()
