--- a/entry/feed/allowance.go
+++ b/entry/feed/allowance.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// allowanceRate is the average rate at which an instance sends pages of urgent objects, in bytes a
-	// second: a fifth of a link of 10 Mbit/s, as the smallest machines have.
+	// allowanceRate is the average rate at which an instance sends pages of urgent objects, in bytes a second: a fifth of
+	// a link of 10 Mbit/s, as the smallest machines have.
 	allowanceRate = 256 << 10
 	// allowanceBurst is the number of bytes that it may send at once; such a link is busy with them for 50 ms.
 	allowanceBurst = 64 << 10
--- a/entry/internal/conns/doc.go
+++ b/entry/internal/conns/doc.go
@@ -6,9 +6,10 @@
 // connection that it closes in between takes a request with it: the handler still
 // runs, and its answer has nowhere to go. Here the bytes of a request and the
 // decision to close its connection are put in order by one atomic phase for each
-// connection, so that a request is either answered or was never read. Several requests may be read at once: a
-// framer tells how far each of them reaches, and the connection stays open until the
-// last one is answered. Only behind a body without a stated length that is not known.
+// connection, so that a request is either answered or was never read. Several
+// requests may be read at once: a framer tells where each of them ends, and the
+// connection stays open until the last one is answered. Behind a body in chunks it
+// cannot tell, and a request there is dropped if the connection closes.
 //
 // A few stray bytes, such as a line break after a body, count as the beginning of a
 // request only for a while: net/http sets no deadline before it has four bytes.
