Show that a stream ends as complete when its leaving server exits

Cause: a stream that does not tell where it ends counts as complete once its connection ends, unless its target is current and has crashed; a target that is leaving is never current.

--- /dev/null
+++ b/review/world-2/leaver.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+func init() {
+	cases["leaver"] = leaver
+	cases["crash"] = crash
+}
+
+// leaver: servers are emptied and taken away (scale_in) while streams run whose answers have neither a length nor chunks.
+func leaver(w *world) (int, error) {
+	const total = 140
+	var engines []*child
+	for i := range 8 {
+		e, err := w.serve(fmt.Sprintf("i-engine-%d", i+1), "huvo11a", "ie-east-"+string(rune('a'+i%3)),
+			"-engine", "-slots", "64", "-unframed", "-prefill", "1s", "-pace", "60ms", "-longer", "1s")
+		if err != nil {
+			return notRun, err
+		}
+		engines = append(engines, e)
+	}
+	machines, err := w.open(2)
+	if err != nil {
+		return notRun, err
+	}
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var answers []answer
+	begin := time.Now()
+	if w.trouble {
+		time.AfterFunc(4*time.Second, func() {
+			w.record.logf("platform  i-engine-1 is told to leave")
+			engines[0].signal(syscall.SIGTERM)
+		})
+	}
+	for i := 0; time.Since(begin) < 10*time.Second; i++ {
+		m := machines[i%len(machines)]
+		group.Go(func() {
+			r := w.brief(m)
+			w.record.logf("sent      %s to %s", r.id, m.name)
+			a := w.send(m, r)
+			n, inOrder := lastEvent(a.id, a.body)
+			w.record.logf("answered  %s status %d signature %q events %d in order %v complete %v error %v", a.id, a.status, a.signature, n, inOrder, a.complete, a.err)
+			mu.Lock()
+			answers = append(answers, a)
+			mu.Unlock()
+		})
+		time.Sleep(160 * time.Millisecond) // 6.2 streams a second, the rate of the sheet
+	}
+	group.Wait()
+	whole, short, cut := 0, 0, 0
+	for _, a := range answers {
+		n, inOrder := lastEvent(a.id, a.body)
+		switch {
+		case a.status == 200 && a.complete && inOrder && n == total:
+			whole++
+		case a.status == 200 && a.complete:
+			short++
+			w.record.logf("BROKEN    ORDER: stream %s ended as complete after event %d of %d, in order %v", a.id, n, total, inOrder)
+		default:
+			cut++
+		}
+	}
+	w.record.logf("streams   %d whole, %d ended as complete before the last event, %d others", whole, short, cut)
+	switch {
+	case short > 0:
+		return broken, nil
+	case whole == 0:
+		return notRun, fmt.Errorf("no stream was served")
+	default:
+		return held, nil
+	}
+}
+
+// crash: servers of the plain service crash (SIGKILL), one at a time, while they send answers that have no length.
+func crash(w *world) (int, error) {
+	flags := []string{"-slots", "6", "-unframed", "-work", "100ms"}
+	zone := func(i int) string { return "ie-east-" + string(rune('a'+i%3)) }
+	shops := make([]*child, 6)
+	for i := range shops {
+		var err error
+		if shops[i], err = w.serve(fmt.Sprintf("i-shop-%d", i+1), "wuno96b", zone(i), flags...); err != nil {
+			return notRun, err
+		}
+	}
+	machines, err := w.open(2)
+	if err != nil {
+		return notRun, err
+	}
+	const rounds = 4 // One server of six is down at a time, for 4.5 s.
+	var isBroken, isOver atomic.Bool
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	whole, short, others := 0, 0, 0
+	group.Go(func() {
+		defer isOver.Store(true)
+		for round := range rounds {
+			time.Sleep(1500 * time.Millisecond)
+			if !w.trouble {
+				time.Sleep(4500 * time.Millisecond)
+				continue
+			}
+			if isBroken.Load() {
+				return
+			}
+			i := round % len(shops)
+			// The server is busy as it crashes: it has begun a request 50 ms before.
+			before := shops[i].count("run ")
+			await(5*time.Second, func() bool { return shops[i].count("run ") > before })
+			time.Sleep(50 * time.Millisecond)
+			w.record.logf("platform  server %s crashes", shops[i].name)
+			shops[i].signal(syscall.SIGKILL)
+			time.Sleep(4500 * time.Millisecond)
+			next, err := w.serve(fmt.Sprintf("i-shop-%d-%d", i+1, round), "wuno96b", zone(i), flags...)
+			if err == nil {
+				shops[i] = next
+			}
+		}
+	})
+	for i := 0; !isOver.Load(); i++ {
+		m := machines[i%len(machines)]
+		r := w.order(m)
+		if i%3 == 2 {
+			r = w.status(m)
+		}
+		group.Go(func() {
+			a := w.send(m, r)
+			w.record.logf("answered  %s %s by %s status %d signature %q bytes %d complete %v error %v", a.id, r.method, m.name, a.status, a.signature, len(a.body), a.complete, a.err)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case a.status == 200 && a.complete && a.body == wholeBody(a.id):
+				whole++
+			case a.status == 200 && a.complete:
+				short++
+				isBroken.Store(true)
+				w.record.logf("BROKEN    MIXED: %s %s has status 200 and %d of the server's %d bytes, and looks complete", r.method, a.id, len(a.body), pieceSize*eightPieces)
+			default:
+				others++
+			}
+		})
+		time.Sleep(32 * time.Millisecond) // 31 requests a second, the rate of the sheet
+	}
+	group.Wait()
+	w.record.logf("answers   %d whole, %d successes with a part of the body, %d others", whole, short, others)
+	switch {
+	case short > 0:
+		return broken, nil
+	case whole == 0:
+		return notRun, fmt.Errorf("no request was served")
+	default:
+		return held, nil
+	}
+}
