--- a/review/world-2/store.go
+++ b/review/world-2/store.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,6 +39,7 @@
 	objects  map[string]map[string]object
 	history  []change
 	changed  chan struct{}
+	silent   atomic.Bool // silent tells that the store is down and answers nothing.
 }
 
 func newStore() *store {
@@ -119,6 +121,16 @@
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/bramleywharf/objects/"), "/")
+	for s.silent.Load() {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+		if !s.silent.Load() {
+			panic(http.ErrAbortHandler) // The call has not been executed.
+		}
+	}
 	query := r.URL.Query()
 	if r.Method == http.MethodGet && name == "" && query.Has("watch") {
 		s.watch(w, r, kind)
@@ -191,6 +203,10 @@
 		s.mu.Lock()
 		events, at, changed := s.events(kind, after), s.revision, s.changed
 		s.mu.Unlock()
+		if s.silent.Load() {
+			<-r.Context().Done()
+			return
+		}
 		if len(events) > 0 {
 			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
