Show that parts that crash servers are forgotten when all are killed

Cause: what is known of such parts is held in the memory of the instances alone and not stored, so it is lost when all processes end at once.

--- /dev/null
+++ b/review/world-2/forget.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"sync"
+	"syscall"
+	"time"
+)
+
+func init() {
+	cases["forget"] = forget
+}
+
+// forget: a part of prompts crashes servers, and all processes of the system are killed after it was found. Requests with
+// the part come one at a time: three before that, and three after. TROUBLE=0 leaves out the kill.
+func forget(w *world) (int, error) {
+	p, err := w.startDeadly()
+	if err != nil {
+		return notRun, err
+	}
+	machines, err := w.open(7)
+	if err != nil {
+		return notRun, err
+	}
+	const interval = 2500 * time.Millisecond
+	begin, sent, killed := time.Now(), 0, false
+	var inTouch time.Time
+	for i := 0; time.Since(begin) < 45*time.Second; i++ {
+		since := time.Since(begin)
+		if m := machines[i%len(machines)]; !m.process.ended() {
+			p.send(m, false)
+		}
+		if sent < 3 && since > 4*time.Second+time.Duration(sent)*interval || sent >= 3 && sent < 6 && since > 28*time.Second+time.Duration(sent-3)*interval {
+			sent++
+			p.send(machines[(3*i)%len(machines)], true)
+		}
+		if !killed && w.trouble && since > 16*time.Second {
+			killed = true
+			w.record.logf("platform  all %d processes of the system are killed", len(machines))
+			for _, m := range machines {
+				m.process.signal(syscall.SIGKILL)
+			}
+			for _, m := range machines {
+				<-m.process.done
+			}
+			time.Sleep(640 * time.Millisecond)
+			var starts sync.WaitGroup
+			for _, m := range machines {
+				if err := w.boot(m); err != nil {
+					return notRun, err
+				}
+				starts.Go(func() { await(10*time.Second, m.isReady) })
+			}
+			starts.Wait()
+			w.record.logf("platform  all processes run again and are ready")
+			inTouch = time.Now().Add(3 * time.Second) // stable_window_ms
+		}
+		time.Sleep(330 * time.Millisecond) // 3 a second, the rate of one kind of request
+	}
+	return p.judge(inTouch)
+}
