--- a/review/world-2/server.go
+++ b/review/world-2/server.go
@@ -21,7 +21,7 @@
 type server struct {
 	id, service, zone, address, store string
 	deadly                            string
-	engine, unframed                  bool
+	engine, unframed, versioned       bool
 	slots, total                      int
 	work, prefill, pace               time.Duration
 	born                              int64
@@ -66,6 +66,7 @@
 	f.StringVar(&s.store, "store", "", "address of the store")
 	f.BoolVar(&s.engine, "engine", false, "a model server")
 	f.BoolVar(&s.unframed, "unframed", false, "answers have neither a length nor chunks")
+	f.BoolVar(&s.versioned, "versioned", false, "answer 421 to requests that expect other weights than version 1")
 	f.IntVar(&s.slots, "slots", 6, "requests at a time")
 	f.IntVar(&s.total, "events", 140, "events of a stream")
 	f.StringVar(&s.deadly, "deadly", "", "a part of prompts that crashes the server as it begins to answer")
@@ -182,6 +183,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if version := r.Header.Get("X-Expected-Version"); s.versioned && version != "" && version != "1" {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if s.holdsDeadly(r) {
 		say("deadly %s reaches %s", id, s.id)
 	}
