--- a/review/world-2/forget.go
+++ b/review/world-2/forget.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -13,7 +14,8 @@
 }
 
 // forget: a part of prompts crashes servers, and all processes of the system are killed after it was found. Requests with
-// the part come one at a time: three before that, and three after. TROUBLE=0 leaves out the kill.
+// the part come one at a time: three before that, and three after. TROUBLE=0
+// leaves out both, and TROUBLE=part the kill alone.
 func forget(w *scene.World) (int, error) {
 	p, err := startDeadly(w, 24, "50ms")
 	if err != nil {
@@ -23,6 +25,7 @@
 	if err != nil {
 		return notRun, err
 	}
+	isKilled := w.Trouble && os.Getenv("TROUBLE") != "part"
 	const interval = 2500 * time.Millisecond
 	begin, sent, killed := time.Now(), 0, false
 	var inTouch time.Time
@@ -31,11 +34,12 @@
 		if m := machines[i%len(machines)]; !m.Process.Ended() {
 			p.send(m, false)
 		}
-		if sent < 3 && since > 12*time.Second+time.Duration(sent)*interval || sent >= 3 && sent < 6 && since > 36*time.Second+time.Duration(sent-3)*interval {
+		isDue := sent < 3 && since > 12*time.Second+time.Duration(sent)*interval || sent >= 3 && sent < 6 && since > 36*time.Second+time.Duration(sent-3)*interval
+		if isDue && w.Trouble {
 			sent++
 			p.send(machines[(3*i)%len(machines)], true)
 		}
-		if !killed && w.Trouble && since > 24*time.Second {
+		if !killed && isKilled && since > 24*time.Second {
 			killed = true
 			w.Record.Logf("platform  all %d processes of the system are killed", len(machines))
 			for _, m := range machines {
