--- a/review/world-2/forget.go
+++ b/review/world-2/forget.go
@@ -14,10 +14,10 @@
 }
 
 // forget: a part of prompts crashes servers, and all processes of the system are killed after it was found. Requests with
-// the part come one at a time: three before that, and three after. TROUBLE=0
-// leaves out both, and TROUBLE=part the kill alone.
+// the part come one at a time, three before that and three after, all within 22 s. TROUBLE=0 leaves out both, and TROUBLE=part the
+// kill alone.
 func forget(w *scene.World) (int, error) {
-	p, err := startDeadly(w, 24, "50ms")
+	p, err := startDeadly(w, 24, "27ms")
 	if err != nil {
 		return notRun, err
 	}
@@ -29,17 +29,17 @@
 	const interval = 2500 * time.Millisecond
 	begin, sent, killed := time.Now(), 0, false
 	var inTouch time.Time
-	for i := 0; time.Since(begin) < 53*time.Second; i++ {
+	for i := 0; time.Since(begin) < 42*time.Second; i++ {
 		since := time.Since(begin)
 		if m := machines[i%len(machines)]; !m.Process.Ended() {
 			p.send(m, false)
 		}
-		isDue := sent < 3 && since > 12*time.Second+time.Duration(sent)*interval || sent >= 3 && sent < 6 && since > 36*time.Second+time.Duration(sent-3)*interval
+		isDue := sent < 3 && since > 12*time.Second+time.Duration(sent)*interval || sent >= 3 && sent < 6 && since > 28*time.Second+time.Duration(sent-3)*interval
 		if isDue && w.Trouble {
 			sent++
 			p.send(machines[(3*i)%len(machines)], true)
 		}
-		if !killed && isKilled && since > 24*time.Second {
+		if !killed && isKilled && since > 20*time.Second {
 			killed = true
 			w.Record.Logf("platform  all %d processes of the system are killed", len(machines))
 			for _, m := range machines {
@@ -60,7 +60,7 @@
 			w.Record.Logf("platform  all processes run again and are ready")
 			inTouch = time.Now().Add(3 * time.Second) // stable_window_ms
 		}
-		time.Sleep(330 * time.Millisecond) // 3 a second, the rate of one kind of request
+		time.Sleep(160 * time.Millisecond) // 6.2 a second, the rate of the sheet
 	}
 	return p.judge(inTouch)
 }
