send: an address that may have passed to another service is not used

Callers saw: streams that ran at a model server of a service that no configuration names (ROUTE).

Cause: a target that answers a misdirected request with 421 was taken for a restarted one of the same service if it reports as an engine and the configuration has one service with engines. The configuration says nothing of services that it does not name.

Change: the successor is used only if the one before it has answered a request that was sent within addr_reuse_s, measured on the boot-time clock; until then the platform gives its address to no other service. The report is not asked for any more. Successors reported by earlier builds are ignored.

Ruled out: an answer's arrival as the sign of life (bytes may be held up on the way), start times of targets (clocks jump), models named in the report (two services may run the same).

--- a/core/site/config.go
+++ b/core/site/config.go
@@ -102,17 +102,6 @@
 	return &Config{Version: version, Revision: revision, Limits: limits}
 }
 
-// IsOnlyEngineService reports whether the service is the only one that has model engines.
-func (c *Config) IsOnlyEngineService(name string) bool {
-	for _, s := range c.services {
-		if (s.Engine != nil) != (s.Name == name) {
-			return false
-		}
-	}
-	_, ok := c.services[name]
-	return ok
-}
-
 // MatchRoute returns the host's route with the longest prefix that matches the path.
 func (c *Config) MatchRoute(host, path string) (Route, bool) {
 	for _, r := range c.routes[normaliseHost(host)] {
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -208,8 +208,9 @@
 	Usage    []Usage         `cbor:"5,keyasint,omitempty"` // Usage counts its recent requests to each service.
 	// DomainLosses holds the failure domains in which it recently lost targets.
 	DomainLosses []DomainLoss `cbor:"6,keyasint,omitempty"`
-	// Successors holds the targets that it found at addresses of others.
-	Successors []Successor `cbor:"7,keyasint,omitempty"`
+	// Successors holds the targets that it found at addresses of others. Under key 7, earlier builds sent targets that may
+	// belong to other services.
+	Successors []Successor `cbor:"9,keyasint,omitempty"`
 	// Rollouts holds what it has seen of the versions of services whose traffic is being moved.
 	Rollouts []Rollout     `cbor:"8,keyasint,omitempty"`
 	Age      time.Duration `cbor:"12,keyasint,omitempty"` // Age is how long instances that passed the report on held it.
--- a/entry/flight/world_test.go
+++ b/entry/flight/world_test.go
@@ -107,8 +107,11 @@
 		Retries: func() retry.Bound { return bound },
 		Fleet:   func() retry.Bound { return bound },
 		Size:    func() int { return 1 },
-		Blocks:  block.New(logger, set),
-		Stop:    stop.New(stop.Settings{Grace: func() time.Duration { return stopPeriod }, Elsewhere: func() bool { return !w.alone }}),
+
+		AddressReuse: func() time.Duration { return 0 },
+
+		Blocks: block.New(logger, set),
+		Stop:   stop.New(stop.Settings{Grace: func() time.Duration { return stopPeriod }, Elsewhere: func() bool { return !w.alone }}),
 	}, targetLink, targetPicker, plainDialect{}, logger, set)
 	w.waitUntil(func() bool { return targetPicker.HasSound(picker.Want{Service: testService}) })
 	return w
@@ -338,9 +341,6 @@
 	return send.Progress{Listed: true}, nil
 }
 
-// IsEngine reports that targets are engines.
-func (plainDialect) IsEngine(int, []byte) bool { return true }
-
 func (plainDialect) StartID([]byte) int64 { return 0 }
 
 // RetryAfter tells that targets refuse requests one at a time.
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -66,7 +66,8 @@
 	Retries  retry.Bound   // Retries bounds the retries of all instances together.
 	// BufferStreams makes the instance hold events for callers that read slowly, within its memory.
 	BufferStreams bool
-	ExposeShare   float64 // ExposeShare is the largest part of a service's requests that a bad version may receive.
+	AddressReuse  time.Duration // AddressReuse is how long the address of an ended target stays with its service.
+	ExposeShare   float64       // ExposeShare is the largest part of a service's requests that a bad version may receive.
 }
 
 // TuningCell returns the tuning in force, and a channel that closes when it changes.
@@ -325,8 +326,10 @@
 		Fleet:   func() retry.Bound { return i.settings.Tuning.Load().Retries },
 		Size:    func() int { return i.fleet.Load().View().Len() },
 		Blocks:  i.blocks,
-		Stop:    i.stopping,
-		Shift:   i.shift,
+
+		AddressReuse: func() time.Duration { return i.settings.Tuning.Load().AddressReuse },
+		Stop:         i.stopping,
+		Shift:        i.shift,
 	}, i.link, i.picker, i.deps.Dialect, i.log, i.set)
 	handler := chain.Build(pass.New(sender).Handle,
 		filter.NewTrace(i.log, i.set),
--- a/entry/offer/offer.go
+++ b/entry/offer/offer.go
@@ -103,6 +103,7 @@
 // open sends the request and waits for the head of the response.
 func open(ctx context.Context, s *send.Sender, pick *picker.Pick, message send.Send, forward chain.Forward, fresh bool) Step {
 	s.Counts.Sends.Inc()
+	sent := s.Stamp()
 	reply, err := s.Send(ctx, pick.Target, s.Outgoing(message, forward, fresh))
 	if link.IsNotSent(err) {
 		s.Counts.Unsent.Inc()
@@ -115,13 +116,14 @@
 	case send.NotRun:
 		_, _ = reply.Whole() // The body is not needed; reading it lets the connection be reused.
 		if v.Misdirected {
-			s.Misdirected(ctx, message.Call, pick, v.Holder)
+			s.Misdirected(pick, v.Holder)
 		}
 		return NotRun{Received: true, Misdirected: v.Misdirected, Cause: fmt.Sprintf("status %d", reply.Status())}
 	case send.Unsigned:
 		reply.Close()
 		return Broken{Err: errors.Errorf("response with status %d has no signature", reply.Status())}
 	}
+	s.Answered(pick, sent)
 	head := chain.Head{Status: reply.Status(), Header: s.Dialect.Response(reply.Header())}
 	if reply.Status() == 200 {
 		return Accepted{Head: head, reply: reply}
--- a/entry/pass/attempt.go
+++ b/entry/pass/attempt.go
@@ -76,7 +76,7 @@
 
 // exchange sends the message and returns the outcome.
 func (a *attempt) exchange(ctx context.Context, s *send.Sender, call chain.Call, message link.Request) outcome {
-	startedAt := time.Now()
+	startedAt, sent := time.Now(), s.Stamp()
 	reply, body, err := s.Exchange(ctx, a.pick.Target, message)
 	if link.IsNotSent(err) {
 		s.Counts.Unsent.Inc()
@@ -92,10 +92,11 @@
 	switch v := s.Dialect.Judge(status, reply.Header()).(type) {
 	case send.NotRun:
 		if v.Misdirected {
-			s.Misdirected(ctx, call, a.pick, v.Holder)
+			s.Misdirected(a.pick, v.Holder)
 		}
 		return notRun{status: status, misdirected: v.Misdirected}
 	case send.Signed:
+		s.Answered(a.pick, sent)
 		if status < 500 {
 			a.pick.Succeeded(time.Since(startedAt))
 		}
--- a/entry/pass/version_test.go
+++ b/entry/pass/version_test.go
@@ -118,7 +118,7 @@
 			<-h.Ready()
 			bound := func() retry.Bound { return retry.Bound{Slack: 100} }
 			sender := send.New(send.Settings{
-				Retries: bound, Fleet: bound, Size: func() int { return 1 }, Blocks: block.New(logger, set), Shift: h,
+				Retries: bound, Fleet: bound, Size: func() int { return 1 }, AddressReuse: func() time.Duration { return 0 }, Blocks: block.New(logger, set), Shift: h,
 				Stop: stop.New(stop.Settings{Grace: func() time.Duration { return time.Minute }, Elsewhere: func() bool { return true }}),
 			}, targetLink, targetPicker, plainDialect{}, logger, set)
 			route := site.Route{Name: "r", RetryPolicy: test.policy, MaxAttempts: 2, Services: []site.WeightedService{{Service: "s", Weight: 1}}}
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -39,6 +39,7 @@
 	inFlight     atomic.Int64               // inFlight counts this instance's running requests, streams included.
 	streams      atomic.Int64               // streams counts this instance's running streams.
 	unreadTokens atomic.Int64               // unreadTokens counts the prompt tokens still to be read.
+	aliveAt      atomic.Uint64              // aliveAt is the last time at which the target had not ended, in ns since the boot of the machine.
 	replicas     atomic.Int64               // replicas counts the replicas of this instance's streams.
 	remoteLoad   atomic.Pointer[route.Load] // remoteLoad is the sum of what all other instances reported.
 	healthStatus atomic.Pointer[health.Estimate]
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -100,8 +100,6 @@
 	Ask(target site.Target) link.Request
 	// Progress returns the progress of a request from the response to an Ask request.
 	Progress(id string, body []byte) (Progress, error)
-	// IsEngine reports whether the response to an Ask request comes from a model engine.
-	IsEngine(status int, body []byte) bool
 	// StartID returns when the target that sent the response to an Ask request started, as in its declaration, or 0.
 	StartID(body []byte) int64
 	// Drop returns the request that frees a replica.
@@ -121,9 +119,11 @@
 	Retries func() retry.Bound // Retries returns this instance's share of the fleet's limit on retries.
 	Fleet   func() retry.Bound // Fleet returns the limit on the retries of all instances together.
 	Size    func() int         // Size returns the number of instances, this one included.
-	Blocks  *block.Block       // Blocks holds the parts of prompts that crash targets.
-	Stop    *stop.Stop         // Stop is that of this instance.
-	Shift   *shift.Shift       // Shift chooses the versions of targets, or is nil if roll-outs are off.
+	// AddressReuse returns how long after the end of a target its address stays with its service; 0 if that is unknown.
+	AddressReuse func() time.Duration
+	Blocks       *block.Block // Blocks holds the parts of prompts that crash targets.
+	Stop         *stop.Stop   // Stop is that of this instance.
+	Shift        *shift.Shift // Shift chooses the versions of targets, or is nil if roll-outs are off.
 }
 
 // Sender holds what requests to targets share: the connections, the choice of targets, retry limits and metrics.
--- a/entry/send/successor.go
+++ b/entry/send/successor.go
@@ -1,37 +1,50 @@
 package send
 
 import (
-	"context"
 	"time"
 
-	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/picker"
+	"bramleywharf.example/entry/uptime"
 	"github.com/apex/log"
 )
 
-// queryTimeout bounds the request to a target that took over another one's address. It is short since the caller waits
-// meanwhile.
-const queryTimeout = 200 * time.Millisecond
+// Stamp is the time at which a request was sent, on a clock that also counts the time for which the machine is suspended.
+// The zero value is unknown.
+type Stamp struct {
+	uptime time.Duration
+	known  bool
+}
 
-// Misdirected records that the picked target no longer answers at its address. The target that answers there is used as
-// its successor if it certainly belongs to the same service: it is an engine, and no other service has engines. Without
-// this, restarted targets could not be used while the platform's list is unreachable.
-func (s *Sender) Misdirected(ctx context.Context, call chain.Call, pick *picker.Pick, successor string) {
-	if !pick.Gone() || successor == "" || call.Site == nil || !call.Site.IsOnlyEngineService(pick.Target.Service) {
-		return
+// Stamp returns the stamp of a request that is sent now. It is unknown if the platform may give an address to another
+// service at once, since it is not needed then.
+func (s *Sender) Stamp() Stamp {
+	if s.settings.AddressReuse() <= 0 {
+		return Stamp{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
-	defer cancel()
-	logger := s.Log.WithFields(log.Fields{"request": call.ID, "target": successor, "address": pick.Target.Address})
-	holder := pick.Target
-	holder.Name, holder.StartID = successor, 0
-	reply, body, err := s.Exchange(ctx, holder, s.Dialect.Ask(holder))
-	if err != nil {
-		logger.WithError(err).Info("target that took over an address did not report what it runs; it is not used until it is listed")
+	now, err := uptime.Now()
+	return Stamp{uptime: now, known: err == nil}
+}
+
+// Answered records that the picked target itself has answered a request, so that it had not ended when that was sent.
+func (s *Sender) Answered(pick *picker.Pick, sent Stamp) {
+	if sent.known {
+		pick.WasAlive(sent.uptime)
+	}
+}
+
+// Misdirected records that the picked target no longer answers at its address. The target that answers there is used as
+// its successor only if it certainly belongs to the same service, which nothing that it says of itself shows: the platform
+// gives the address of an ended target to another service after AddressReuse at the earliest, and the picked target was
+// alive within that time.
+func (s *Sender) Misdirected(pick *picker.Pick, successor string) {
+	if !pick.Gone() || successor == "" {
 		return
 	}
-	if !s.Dialect.IsEngine(reply.Status(), body) {
-		logger.Info("target that took over an address is not an engine; it is not used until it is listed")
+	now := s.Stamp()
+	aliveAt, seen := pick.AliveAt()
+	if !now.known || !seen || now.uptime-aliveAt >= s.settings.AddressReuse() {
+		s.Log.WithFields(log.Fields{"target": successor, "address": pick.Target.Address, "old-target": pick.Target.Name}).
+			Info("target that took over an address may belong to another service; it is not used until it is listed")
 		return
 	}
 	s.Picker.Adopt(pick.Target, successor)
