recall: what is known of parts that crash targets outlasts all instances

Cause: the losses of parts were held in the memory of the instances alone. One that restarts learns them from its peers; after the loss of all there is none.

Change: the losses are kept in one object of the store. The instance that has found a crash stores it at once by a conditional write; two elected ones store excuses and, when the store comes back from a copy, all of it. An instance that starts waits until it has read the object.

--- a/core/taint/taint.go
+++ b/core/taint/taint.go
@@ -113,6 +113,11 @@
 	return Book{}.WithBook(Book{parts: parts, crashes: crashes})
 }
 
+// IsExpired reports whether a loss of a time no longer counts.
+func IsExpired(at, now time.Time) bool {
+	return now.Sub(at) > lossTTL
+}
+
 // InOutage reports whether a target of a failure domain crashed at a time at which others of the domain did, which was
 // not for what it worked on.
 func (b Book) InOutage(domain uint64, at time.Time) bool {
@@ -188,7 +193,7 @@
 		}
 	}
 	for part, losses := range b.parts {
-		kept := slices.DeleteFunc(slices.Clone(losses), func(l Loss) bool { return now.Sub(l.At) > lossTTL })
+		kept := slices.DeleteFunc(slices.Clone(losses), func(l Loss) bool { return IsExpired(l.At, now) })
 		if len(kept) > 0 {
 			next.parts[part] = kept
 		}
@@ -241,7 +246,7 @@
 	moments, losses := 0, 0
 	var momentStart time.Time
 	for _, l := range b.parts[part] {
-		if l.Excused || now.Sub(l.At) > lossTTL {
+		if l.Excused || IsExpired(l.At, now) {
 			continue
 		}
 		losses++
@@ -310,58 +315,3 @@
 func firstByID(losses []Loss) Loss {
 	return slices.MinFunc(losses, compareIDs)
 }
-
-// mergeLosses returns the losses of two lists. A loss in both lists has the earlier time of the two, since times that were
-// received include the time of the message. For the same reason their times do not decide which losses are kept if there
-// are too many: instances would keep different ones.
-func mergeLosses(a, b []Loss) []Loss {
-	byID := make(map[LossID]Loss, len(a)+len(b))
-	for _, l := range slices.Concat(a, b) {
-		if known, ok := byID[l.ID]; ok {
-			l.Excused = l.Excused || known.Excused
-			if known.At.Before(l.At) {
-				l.At = known.At
-			}
-		}
-		byID[l.ID] = l
-	}
-	merged := slices.SortedFunc(maps.Values(byID), func(x, y Loss) int {
-		return cmp.Or(compareExcused(x, y), compareIDs(x, y))
-	})
-	merged = merged[:min(len(merged), maxLosses)]
-	slices.SortFunc(merged, func(x, y Loss) int { return cmp.Or(x.At.Compare(y.At), compareIDs(x, y)) })
-	return merged
-}
-
-// mergeCrashes returns the crashes of two lists, each with the earlier of its times, in the order of their ids. If there
-// are too many, those with the lowest ids are kept, so that instances keep the same ones and some of each outage.
-func mergeCrashes(a, b []Crash) []Crash {
-	if len(b) == 0 {
-		return a
-	}
-	merged := slices.Concat(a, b)
-	slices.SortFunc(merged, func(x, y Crash) int { return cmp.Or(compareLossIDs(x.ID, y.ID), x.At.Compare(y.At)) })
-	merged = slices.CompactFunc(merged, func(x, y Crash) bool { return x.ID == y.ID })
-	return merged[:min(len(merged), maxCrashes)]
-}
-
-// compareExcused orders losses that are not excused before those that are.
-func compareExcused(x, y Loss) int {
-	switch {
-	case x.Excused == y.Excused:
-		return 0
-	case x.Excused:
-		return 1
-	default:
-		return -1
-	}
-}
-
-// compareIDs orders losses by their ids, which are hashes.
-func compareIDs(x, y Loss) int {
-	return compareLossIDs(x.ID, y.ID)
-}
-
-func compareLossIDs(x, y LossID) int {
-	return cmp.Or(cmp.Compare(x.Target, y.Target), cmp.Compare(x.Request, y.Request))
-}
--- a/entry/inst/inst.go
+++ b/entry/inst/inst.go
@@ -28,6 +28,7 @@
 	"bramleywharf.example/entry/send"
 	"bramleywharf.example/entry/shift"
 	"bramleywharf.example/entry/stop"
+	"bramleywharf.example/entry/stored"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 )
@@ -106,7 +107,9 @@
 	Targets      Kind
 	DecodeConfig board.DecodeConfig
 	DecodeTarget board.DecodeTarget
-	RollOuts     *RollOuts // RollOuts is nil if roll-outs are off.
+	RollOuts     *RollOuts      // RollOuts is nil if roll-outs are off.
+	Records      stored.Records // Records stores objects of this program.
+	SharedKind   string         // SharedKind is the kind of the objects that all instances share.
 	Dialect      send.Dialect
 	EchoHeader   string // EchoHeader is the request header that targets copy to their responses.
 	// Front returns the HTTP handler that passes callers' requests to a chain.
@@ -248,6 +251,7 @@
 	close(joined)
 	i.exchange.Start(members)
 	i.addCloser(i.exchange.Close)
+	losses := i.startRecall(members)
 	saver := newSessionSaver(i, members)
 	i.addCloser(saver.Close)
 	i.restorer.Store(newRestorer(i, announcedEra, secret))
@@ -267,6 +271,9 @@
 	if err := i.waitForRollOuts(ctx, members); err != nil {
 		return err
 	}
+	if err := waitForLosses(ctx, losses); err != nil {
+		return err
+	}
 	i.picker.Reconcile() // The feed can have targets that the picker's own loop has not applied yet.
 	return i.acceptCallers(members)
 }
--- a/entry/inst/rollouts.go
+++ b/entry/inst/rollouts.go
@@ -22,7 +22,6 @@
 	Orders      Kind
 	States      Kind // States has the values of the objects, without what the store adds to them, as Raw.
 	DecodeOrder func(mirror.Object) (canary.Order, error)
-	Records     stored.Records // Records stores the objects of the kind States.
 	// Report stores the status of an order unless the order has changed.
 	Report func(context.Context, canary.Order, canary.Status) error
 }
@@ -45,7 +44,7 @@
 		Name:        i.settings.Self.Name,
 		ExposeShare: func() float64 { return i.settings.Tuning.Load().ExposeShare },
 		Orders:      stored.Orders{Copies: board.NewCopies(orders, d.DecodeOrder, i.log)},
-		States:      stored.States{Copies: board.NewCopies(states, stored.DecodeState, i.log), Kind: d.States.Name, Records: d.Records, StoreStatus: d.Report},
+		States:      stored.States{Copies: board.NewCopies(states, stored.DecodeState, i.log), Kind: d.States.Name, Records: i.deps.Records, StoreStatus: d.Report},
 		Targets:     i.picker,
 		Fleet:       i.picker,
 		Memory:      i.targetMemory,
--- a/entry/picker/loads.go
+++ b/entry/picker/loads.go
@@ -84,8 +84,7 @@
 }
 
 // targetLoads returns this instance's load on each target where it has any.
-func (p *Picker) targetLoads() []wire.TargetLoad {
-	var targetLoads []wire.TargetLoad
+func (p *Picker) targetLoads() (targetLoads []wire.TargetLoad) {
 	table := p.targetTable.Load()
 	for i, s := range table.states {
 		load := wire.TargetLoad{Target: table.targetSet.All()[i].Name, Streams: int(s.streams.Load()), PendingPromptTokens: int(s.unreadTokens.Load()), Replicas: int(s.replicas.Load())}
--- a/entry/picker/pick.go
+++ b/entry/picker/pick.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"sync/atomic"
 	"time"
 
 	"bramleywharf.example/core/cell"
@@ -51,16 +52,8 @@
 	}
 }
 
-// WasAlive records that the target had not ended at a time, given as that since the boot of the machine.
-func (k *Pick) WasAlive(uptime time.Duration) {
-	cell.Raise(&k.targetState.aliveAt, uint64(uptime))
-}
-
-// AliveAt returns the last time at which the target is known not to have ended, and whether there is one.
-func (k *Pick) AliveAt() (uptime time.Duration, ok bool) {
-	at := k.targetState.aliveAt.Load()
-	return time.Duration(at), at > 0
-}
+// AliveAt holds the last time at which the target had certainly not ended, in ns since the boot of the machine, or 0.
+func (k *Pick) AliveAt() *atomic.Uint64 { return &k.targetState.aliveAt }
 
 // Latency returns the average latency of the target's complete answers, or 0 when there is none.
 func (k *Pick) Latency() time.Duration {
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -18,10 +18,8 @@
 	"github.com/apex/log"
 )
 
-const (
-	// expiryCheckInterval is the reconcile interval while targets or successors are held that expire without an update.
-	expiryCheckInterval = 250 * time.Millisecond
-)
+// expiryCheckInterval is the reconcile interval while targets or successors are held that expire without an update.
+const expiryCheckInterval = 250 * time.Millisecond
 
 // Source provides the declared targets.
 type Source interface {
@@ -39,7 +37,7 @@
 	inFlight     atomic.Int64               // inFlight counts this instance's running requests, streams included.
 	streams      atomic.Int64               // streams counts this instance's running streams.
 	unreadTokens atomic.Int64               // unreadTokens counts the prompt tokens still to be read.
-	aliveAt      atomic.Uint64              // aliveAt is the last time at which the target had not ended, in ns since the boot of the machine.
+	aliveAt      atomic.Uint64              // aliveAt is that of Pick.AliveAt.
 	replicas     atomic.Int64               // replicas counts the replicas of this instance's streams.
 	remoteLoad   atomic.Pointer[route.Load] // remoteLoad is the sum of what all other instances reported.
 	healthStatus atomic.Pointer[health.Estimate]
@@ -211,15 +209,14 @@
 }
 
 // suspectCount returns the number of suspect targets.
-func (p *Picker) suspectCount() float64 {
+func (p *Picker) suspectCount() (count float64) {
 	now := time.Now()
-	count := 0
 	for _, s := range p.targetTable.Load().states {
 		if s.healthStatus.Load().IsSuspect(now) {
 			count++
 		}
 	}
-	return float64(count)
+	return count
 }
 
 // updateHealth replaces the health of a target by the result of change, which may be called more than once.
--- a/entry/picker/version.go
+++ b/entry/picker/version.go
@@ -48,14 +48,13 @@
 
 // Running returns the number of requests that run at the targets of a service: this instance's, and the streams of all
 // other instances.
-func (p *Picker) Running(service string) int {
+func (p *Picker) Running(service string) (running int) {
 	p.refreshSums()
-	running := int64(0)
 	table := p.targetTable.Load()
 	for i, s := range table.states {
 		if table.targetSet.All()[i].Service == service {
-			running += s.inFlight.Load() + int64(s.remoteLoad.Load().Streams)
+			running += int(s.inFlight.Load()) + s.remoteLoad.Load().Streams
 		}
 	}
-	return int(running)
+	return running
 }
--- a/entry/send/successor.go
+++ b/entry/send/successor.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bramleywharf.example/core/cell"
 	"bramleywharf.example/entry/picker"
 	"bramleywharf.example/entry/uptime"
 	"github.com/apex/log"
@@ -28,7 +29,7 @@
 // Answered records that the picked target itself has answered a request, so that it had not ended when that was sent.
 func (s *Sender) Answered(pick *picker.Pick, sent Stamp) {
 	if sent.known {
-		pick.WasAlive(sent.uptime)
+		cell.Raise(pick.AliveAt(), uint64(sent.uptime))
 	}
 }
 
@@ -41,8 +42,8 @@
 		return
 	}
 	now := s.Stamp()
-	aliveAt, seen := pick.AliveAt()
-	if !now.known || !seen || now.uptime-aliveAt >= s.settings.AddressReuse() {
+	aliveAt := time.Duration(pick.AliveAt().Load())
+	if !now.known || aliveAt == 0 || now.uptime-aliveAt >= s.settings.AddressReuse() {
 		s.Log.WithFields(log.Fields{"target": successor, "address": pick.Target.Address, "old-target": pick.Target.Name}).
 			Info("target that took over an address may belong to another service; it is not used until it is listed")
 		return
--- a/lab/internal/soak/deadly_test.go
+++ b/lab/internal/soak/deadly_test.go
@@ -64,6 +64,7 @@
 	ended   bool
 	events  []targetEvent
 	running []*exec.Cmd
+	sent    int // sent counts the requests of send.
 }
 
 // startTarget starts a target and the goroutine that starts it again.
