taint: streams lost beside a deadly request do not have their shared part blocked

Cause: sound streams at their begin are lost with a target that crashes, and count for all their parts. The part that all prompts share so had more lost requests than the deadly one and was blocked in its place, until a stream that ran already had ended as a whole. After the loss of all instances no stream runs, and with the losses in the store the part would stay blocked for minutes.

Change: parts are compared by the crashes of targets, not by requests, so that the deadly part and the shared one only block requests with both; and a stream that has passed the begin of its answer excuses its parts.

--- a/core/taint/taint.go
+++ b/core/taint/taint.go
@@ -201,12 +201,12 @@
 	return next
 }
 
-// Blocked reports whether a request with some parts is blocked. Parts that the lost requests have in common block a
+// Blocked reports whether a request with some parts is blocked. Parts that were in requests at the same crashes block a
 // request that has all of them. One that has some of them goes on, since the outcome tells which part is to blame.
 func (b Book) Blocked(parts []string, now time.Time) (Finding, bool) {
 	for _, part := range parts {
 		f, ok := b.finding(part, now)
-		if !ok || b.isExplained(part, f, now) {
+		if !ok || b.isExplained(part, now) {
 			continue
 		}
 		f.Parts = b.inseparable(part)
@@ -228,7 +228,7 @@
 	return findings
 }
 
-// inseparable returns the parts that have the same open losses as a part, which is one of them, sorted.
+// inseparable returns the parts that have open losses at the same crashes as a part, which is one of them, sorted.
 func (b Book) inseparable(part string) []string {
 	var parts []string
 	for other := range b.parts {
@@ -259,27 +259,32 @@
 	return Finding{Losses: losses, Requests: len(requests)}, len(requests) >= minRequests && moments >= minMoments
 }
 
-// isExplained reports whether another part that is to be blocked was in all lost requests of a part and in more.
-func (b Book) isExplained(part string, own Finding, now time.Time) bool {
+// isExplained reports whether another part that is to be blocked was in requests at all crashes of a part and at more.
+// Requests do not count: those that ran beside one with a part that crashes targets are lost with it.
+func (b Book) isExplained(part string, now time.Time) bool {
 	for other := range b.parts {
-		f, ok := b.finding(other, now)
-		if ok && f.Requests > own.Requests && b.includes(other, part) {
+		if _, ok := b.finding(other, now); ok && b.includes(other, part) && !b.includes(part, other) {
 			return true
 		}
 	}
 	return false
 }
 
-// includes reports whether a part has all losses of another one that are not excused.
+// includes reports whether a part has losses at all crashes at which another one has losses that are not excused.
 func (b Book) includes(part, other string) bool {
 	for _, l := range b.parts[other] {
-		if !l.Excused && !slices.ContainsFunc(b.parts[part], func(m Loss) bool { return m.ID == l.ID && !m.Excused }) {
+		if !l.Excused && !slices.ContainsFunc(b.parts[part], func(m Loss) bool { return !m.Excused && m.isSameCrash(l) }) {
 			return false
 		}
 	}
 	return true
 }
 
+// isSameCrash reports whether two losses belong to one crash of a target, which may restart under its name.
+func (l Loss) isSameCrash(other Loss) bool {
+	return l.ID.Target == other.ID.Target && l.At.Sub(other.At).Abs() <= momentLength
+}
+
 // bounded returns the book with the most telling parts only.
 func (b Book) bounded() Book {
 	if len(b.parts) <= maxParts {
--- a/core/taint/taint_test.go
+++ b/core/taint/taint_test.go
@@ -72,6 +72,21 @@
 		"reported-by-many": {
 			[]step{lost(0, deadly), lost(0, deadly), lost(0, deadly), lost(1, deadly)}, 2 * time.Second, nil,
 		},
+		// Requests that ran beside those with the deadly part are lost with their targets.
+		"bystanders": {
+			[]step{
+				lost(0, deadly), {10 * time.Millisecond, 1, 11, shared}, lost(1, deadly), {1010 * time.Millisecond, 2, 12, shared},
+				{1020 * time.Millisecond, 2, 13, shared}, lost(2, deadly),
+			},
+			3 * time.Second, []string{both},
+		},
+		"bystanders-of-one-target-that-restarts": {
+			[]step{
+				{0, 1, 1, deadly}, {10 * time.Millisecond, 1, 11, shared}, {time.Second, 1, 2, deadly}, {2 * time.Second, 1, 3, deadly},
+				{2010 * time.Millisecond, 1, 13, shared},
+			},
+			3 * time.Second, []string{both},
+		},
 		"expired": {[]step{lost(0, deadly), lost(1, deadly), lost(2, deadly)}, lossTTL + time.Second, nil},
 	}
 	for name, test := range cases {
--- a/entry/block/block.go
+++ b/entry/block/block.go
@@ -59,7 +59,7 @@
 	return f, ok
 }
 
-// Answered records that a target has answered a request with some shared parts as a whole.
+// Answered records that a target has answered a request with some shared parts, or has gone past the begin of its answer.
 func (b *Block) Answered(parts []string) {
 	if b.Book().Len() == 0 {
 		return
--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -204,7 +204,10 @@
 			s.replicas.Track(a.holder)
 		}
 	}
-	s.wentOn = s.wentOn || send.IsPastBegin(a.received, a.firstAt)
+	if !s.wentOn && send.IsPastBegin(a.received, a.firstAt) {
+		s.wentOn = true
+		s.begins.Answered()
+	}
 	if err := s.deliver(a, e); errors.Is(err, offer.ErrFirstEventTimeout) {
 		return expired{}
 	} else if err != nil {
--- a/entry/send/begin.go
+++ b/entry/send/begin.go
@@ -127,7 +127,7 @@
 	return ok
 }
 
-// Answered records that a target has answered the request as a whole.
+// Answered records that a target has answered the request as a whole, or has gone past the begin of its answer.
 func (b *Begins) Answered() {
 	b.sender.Blocks.Answered(b.parts)
 }
--- a/lab/internal/cmds/fields_test.go
+++ b/lab/internal/cmds/fields_test.go
@@ -19,7 +19,7 @@
 // loggingPackages lists the packages that log on the users' platform; docs/OPERATIONS.md documents their log fields.
 var loggingPackages = []string{
 	"entry/block", "entry/board", "entry/chain", "entry/event", "entry/feed", "entry/filter", "entry/fleet", "entry/flight", "entry/guard", "entry/inst", "entry/internal/conns", "entry/link", "entry/outbox",
-	"entry/pass", "entry/picker", "entry/queue", "entry/reload", "entry/send", "entry/shift", "platform/internal/cloud", "platform/internal/cmds", "platform/internal/edge", "platform/internal/local",
+	"entry/pass", "entry/picker", "entry/queue", "entry/recall", "entry/reload", "entry/send", "entry/shift", "platform/internal/cloud", "platform/internal/cmds", "platform/internal/edge", "platform/internal/local",
 }
 
 // TestLogFields checks that docs/OPERATIONS.md lists every log field of these packages and no other.
