--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -173,7 +173,7 @@
 // brokenOff returns the outcome of an attempt whose response broke off.
 func (s *stream) brokenOff(a *attempt, err error) interrupted {
 	end := interruptedBy(err)
-	end.atBegin = end.endedBy == chain.EndedByTarget && !send.IsPastBegin(a.received, a.firstAt) && !s.wentOn
+	end.atBegin = end.endedBy == chain.EndedByTarget && !send.IsPastBegin(a.received, a.firstAt) && !s.begins.IsPassed()
 	return end
 }
 
@@ -204,10 +204,7 @@
 			s.replicas.Track(a.holder)
 		}
 	}
-	if !s.wentOn && send.IsPastBegin(a.received, a.firstAt) {
-		s.wentOn = true
-		s.begins.Answered()
-	}
+	s.begins.Progressed(a.received, a.firstAt)
 	if err := s.deliver(a, e); errors.Is(err, offer.ErrFirstEventTimeout) {
 		return expired{}
 	} else if err != nil {
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -54,7 +54,6 @@
 	unsentCount     int                         // attempts that did not reach the intended target
 	resumeCount     int                         // times the stream went on at another target after its first event
 	begins          *send.Begins                // targets that were lost at the begin of their answers
-	wentOn          bool                        // whether a target passed the begin of its answer
 	eventCount      int                         // events delivered to the caller
 	lastEventID     string                      // id of the last event that the caller has
 	head            offer.Head                  // what has become of the head of the response
@@ -286,5 +285,5 @@
 
 // isBlocked reports whether a part of the prompt is known to crash targets. A stream whose answer has passed its begin does not.
 func (s *stream) isBlocked() bool {
-	return !s.wentOn && s.begins.Blocked()
+	return !s.begins.IsPassed() && s.begins.Blocked()
 }
--- a/entry/send/begin.go
+++ b/entry/send/begin.go
@@ -58,6 +58,7 @@
 	id     string   // id is that of the request.
 	parts  []string // parts are those that other requests may have as well.
 	losses []*beginLoss
+	passed bool // passed tells that a target has gone past the begin of its answer.
 }
 
 // beginLoss is the end of a response at its begin.
@@ -127,7 +128,21 @@
 	return ok
 }
 
-// Answered records that a target has answered the request as a whole, or has gone past the begin of its answer.
+// Progressed records how far a target has come with its answer, by its events and the time of the first. An answer past
+// its begin counts like a whole one: a part that crashes targets lets none come that far.
+func (b *Begins) Progressed(events int, first time.Time) {
+	if !b.passed && IsPastBegin(events, first) {
+		b.passed = true
+		b.Answered()
+	}
+}
+
+// IsPassed reports whether a target has gone past the begin of its answer.
+func (b *Begins) IsPassed() bool {
+	return b.passed
+}
+
+// Answered records that a target has answered the request as a whole.
 func (b *Begins) Answered() {
 	b.sender.Blocks.Answered(b.parts)
 }
