send: a target that refuses a request in its own name has not ended

Cause: every 421 was taken for the answer of another target at the address, and marked the picked one as ended. PROTOCOL.md has targets answer 421 to an expected version as well, of their weights.

Change: a 421 that names the picked target is a refusal; one that names none is, if the target's report has the start that its entry has.

--- a/entry/offer/offer.go
+++ b/entry/offer/offer.go
@@ -115,10 +115,8 @@
 	switch v := s.Dialect.Judge(reply.Status(), reply.Header()).(type) {
 	case send.NotRun:
 		_, _ = reply.Whole() // The body is not needed; reading it lets the connection be reused.
-		if v.Misdirected {
-			s.Misdirected(pick, v.Holder)
-		}
-		return NotRun{Received: true, Misdirected: v.Misdirected, Cause: fmt.Sprintf("status %d", reply.Status())}
+		isMisdirected := v.Misdirected && s.Misdirected(ctx, pick, v.Holder)
+		return NotRun{Received: true, Misdirected: isMisdirected, Cause: fmt.Sprintf("status %d", reply.Status())}
 	case send.Unsigned:
 		reply.Close()
 		return Broken{Err: errors.Errorf("response with status %d has no signature", reply.Status())}
--- a/entry/pass/attempt.go
+++ b/entry/pass/attempt.go
@@ -91,10 +91,7 @@
 	status := reply.Status()
 	switch v := s.Dialect.Judge(status, reply.Header()).(type) {
 	case send.NotRun:
-		if v.Misdirected {
-			s.Misdirected(a.pick, v.Holder)
-		}
-		return notRun{status: status, misdirected: v.Misdirected}
+		return notRun{status: status, misdirected: v.Misdirected && s.Misdirected(ctx, a.pick, v.Holder)}
 	case send.Signed:
 		s.Answered(a.pick, sent)
 		if status < 500 {
