recall: losses are stored within 0.4 s of the store's return

The pause after a failed call had grown to 2 s, so that nothing was stored in the half second between the store's return and the kill. An instance that started while the store was away also got ready up to 2 s late.

The pause is 0.4 s at most. The row ended-at-the-return failed before.

--- a/entry/recall/recall.go
+++ b/entry/recall/recall.go
@@ -29,9 +29,10 @@
 	// doubles with each further one. In the later ones instances pass losses on, so that one stores what many have found.
 	conflictPauseMin = 30 * time.Millisecond
 	conflictPauseMax = 800 * time.Millisecond
-	// retryMin and retryMax bound the pause after a failed call; failed calls are billed too.
-	retryMin = 200 * time.Millisecond
-	retryMax = 2 * time.Second
+	// retryMin and retryMax bound the pause after a failed call. Failed calls are billed too, but what is found while the
+	// store is away is lost with all instances until it is stored.
+	retryMin = 100 * time.Millisecond
+	retryMax = 400 * time.Millisecond
 	// callTimeout bounds one call of the store.
 	callTimeout = time.Second
 )
--- a/entry/recall/recall_test.go
+++ b/entry/recall/recall_test.go
@@ -194,6 +194,7 @@
 		"away-for-a-moment":    {1, away, 1500 * time.Millisecond, 2 * time.Second, 3},
 		"away-for-long":        {1, away, 20 * time.Second, 3 * time.Second, 3},
 		"refuses-for-long":     {3, refused, 20 * time.Second, 4 * time.Second, 8},
+		"ended-at-the-return":  {1, refused, 20 * time.Second, 500 * time.Millisecond, 3},
 		"responses-are-lost":   {1, lossy, 20 * time.Second, 3 * time.Second, 3},
 		"responses-lost-twice": {3, lossy, 20 * time.Second, 4 * time.Second, 8},
 		"writes-come-late":     {1, late, 10 * time.Second, 5 * time.Second, 3},
