--- a/core/taint/taint.go
+++ b/core/taint/taint.go
@@ -113,7 +113,7 @@
 	return Book{}.WithBook(Book{parts: parts, crashes: crashes})
 }
 
-// IsExpired reports whether a loss of a time no longer counts.
+// IsExpired reports whether a loss at a time no longer counts.
 func IsExpired(at, now time.Time) bool {
 	return now.Sub(at) > lossTTL
 }
