flight: a target that refuses a request whatever its load is not asked again

Traced: since a 421 in the target's own name is a refusal, and a stream asks targets that refuse it again until its time is over, 1.8 s without load and the route's 3 s under load. A target that lacks the version that a request expects will refuse it again, so the stream is refused once its attempts are used up.

--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -34,6 +34,7 @@
 type notRun struct {
 	received    bool // a target received the request and refused it
 	misdirected bool // another target has the address and refused; the intended one has ended
+	unmet       bool // the target refuses the request whatever its load
 	cause       string
 }
 
@@ -141,7 +142,7 @@
 func (s *stream) advance(ctx context.Context, a *attempt, step offer.Step) outcome {
 	switch r := step.(type) {
 	case offer.NotRun:
-		return notRun{received: r.Received, misdirected: r.Misdirected, cause: r.Cause}
+		return notRun{received: r.Received, misdirected: r.Misdirected, unmet: r.Unmet, cause: r.Cause}
 	case offer.Answered:
 		return wholeResponse{response: chain.Passed{Head: r.Head, Body: r.Body, Sends: s.sendCount + s.unsentCount}}
 	case offer.Accepted:
--- a/entry/flight/ending.go
+++ b/entry/flight/ending.go
@@ -79,7 +79,7 @@
 		return
 	}
 	a.pick.Failed()
-	if !r.misdirected {
+	if !r.misdirected && !r.unmet {
 		s.refusers = s.refusers.With(a.pick.Target)
 	}
 }
--- a/entry/offer/offer.go
+++ b/entry/offer/offer.go
@@ -116,7 +116,7 @@
 	case send.NotRun:
 		_, _ = reply.Whole() // The body is not needed; reading it lets the connection be reused.
 		isMisdirected := v.Misdirected && s.Misdirected(ctx, pick, v.Holder)
-		return NotRun{Received: true, Misdirected: isMisdirected, Cause: fmt.Sprintf("status %d", reply.Status())}
+		return NotRun{Received: true, Misdirected: isMisdirected, Unmet: v.Misdirected && !isMisdirected, Cause: fmt.Sprintf("status %d", reply.Status())}
 	case send.Unsigned:
 		reply.Close()
 		return Broken{Err: errors.Errorf("response with status %d has no signature", reply.Status())}
--- a/entry/offer/step.go
+++ b/entry/offer/step.go
@@ -33,6 +33,7 @@
 type NotRun struct {
 	Received    bool // Received tells that a target received the request and refused it.
 	Misdirected bool // Misdirected tells that another target has the address; the intended one has ended.
+	Unmet       bool // Unmet tells that the target refuses the request whatever its load, as for a version that it lacks.
 	Cause       string
 }
 
