--- a/entry/recall/recall_test.go
+++ b/entry/recall/recall_test.go
@@ -40,10 +40,12 @@
 	copied        []byte // copied is the object in the copy that drill restores.
 	copiedAt      uint64 // copiedAt is the revision of that object.
 	reads, writes int
+	latency       time.Duration // latency is the time that a call takes on its way there.
 }
 
 // Get reads the object.
 func (s *fakeStore) Get(ctx context.Context, _, _ string, value any) (uint64, error) {
+	time.Sleep(s.latency)
 	s.mu.Lock()
 	s.reads++
 	fault, revision, raw := s.fault, s.revision, s.raw
@@ -77,6 +79,7 @@
 	if err != nil {
 		return 0, err
 	}
+	time.Sleep(s.latency)
 	s.mu.Lock()
 	s.writes++
 	fault := s.fault
@@ -413,3 +416,37 @@
 		})
 	}
 }
+
+// TestManyFinders guards against more calls than the store allows when an outage ends targets at all instances of a fleet
+// at once: they may make 1,200 writes and 6,000 reads a second.
+func TestManyFinders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 67
+		time.Sleep(time.Millisecond)
+		c := quicktest.New(t)
+		s := &fakeStore{latency: 4 * time.Millisecond}
+		members := make([]member, size)
+		for i := range members {
+			members[i] = startMember(s, i < electedCount)
+			defer members[i].recall.Close()
+			<-members[i].recall.Loaded()
+		}
+		started := s.calls()
+		for i, m := range members {
+			m.lose(i)
+		}
+		for round := range 40 {
+			time.Sleep(250 * time.Millisecond) // Instances pull from each other in this time.
+			for i, m := range members {
+				other := members[(i*7+round*13+1)%size]
+				m.blocks.MergeLosses(other.blocks.Losses(), other.blocks.Crashes())
+			}
+		}
+		calls := s.calls()
+		reads, writes := calls[0]-started[0], calls[1]-started[1]
+		t.Logf("%d reads and %d writes for %d instances", reads, writes, size)
+		c.Assert(writes <= 1200, quicktest.IsTrue, quicktest.Commentf("%d writes", writes))
+		c.Assert(reads <= 6000, quicktest.IsTrue, quicktest.Commentf("%d reads", reads))
+		c.Assert(knows(s) > 0, quicktest.IsTrue)
+	})
+}
