--- a/lab/internal/soak/deadly_test.go
+++ b/lab/internal/soak/deadly_test.go
@@ -18,6 +18,9 @@
 	"github.com/frankban/quicktest"
 )
 
+// settlingTime is the time after the fifth crash from which at most three requests with the deadly part may reach targets.
+const settlingTime = 3 * time.Second
+
 // targetPort is the port of the targets, each of which has its own loopback address.
 const targetPort = 17400
 
@@ -109,6 +112,25 @@
 	w.events = append(w.events, targetEvent{at: time.Now(), id: id})
 }
 
+// counts returns the number of crashes, and of the requests with the deadly part that have reached targets later than the
+// settling time after the fifth one.
+func (w *deadlyWorld) counts() (crashes, late int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var fifth time.Time
+	for _, e := range w.events {
+		if e.id == "" {
+			if crashes++; crashes == 5 {
+				fifth = e.at
+			}
+		}
+		if strings.HasPrefix(e.id, "deadly") && !fifth.IsZero() && e.at.Sub(fifth) > settlingTime {
+			late++
+		}
+	}
+	return crashes, late
+}
+
 // end kills the targets.
 func (w *deadlyWorld) end() {
 	w.mu.Lock()
@@ -166,7 +188,6 @@
 		requestCount = 200
 		deadlyEvery  = 20
 		interval     = 80 * time.Millisecond
-		settlingTime = 3 * time.Second
 	)
 	for i := range targetCount {
 		// The address is below the ports of clients, so that the target can listen there again.
@@ -201,20 +222,7 @@
 		time.Sleep(interval)
 	}
 	group.Wait()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	crashes, late := 0, 0
-	var fifth time.Time
-	for _, e := range w.events {
-		if e.id == "" {
-			if crashes++; crashes == 5 {
-				fifth = e.at
-			}
-		}
-		if strings.HasPrefix(e.id, "deadly") && !fifth.IsZero() && e.at.Sub(fifth) > settlingTime {
-			late++
-		}
-	}
+	crashes, late := w.counts()
 	c.Logf("%d crashes, %d late requests with the part, %d of %d sound streams whole", crashes, late, whole, sound)
 	c.Assert(crashes >= 3, quicktest.IsTrue)
 	c.Assert(late <= 3, quicktest.IsTrue)
--- a/lab/internal/soak/recall_test.go
+++ b/lab/internal/soak/recall_test.go
@@ -123,9 +123,8 @@
 // kill on.
 func checkRecall(c *quicktest.C, w *deadlyWorld, steps []recallStep) {
 	const (
-		targetCount  = 6
-		interval     = 80 * time.Millisecond
-		settlingTime = 3 * time.Second
+		targetCount = 6
+		interval    = 80 * time.Millisecond
 	)
 	for i := range targetCount {
 		// The address is below the ports of clients, so that the target can listen there again.
@@ -159,20 +158,7 @@
 		time.Sleep(interval)
 	}
 	group.Wait()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	crashes, late := 0, 0
-	var fifth time.Time
-	for _, e := range w.events {
-		if e.id == "" {
-			if crashes++; crashes == 5 {
-				fifth = e.at
-			}
-		}
-		if strings.HasPrefix(e.id, "deadly") && !fifth.IsZero() && e.at.Sub(fifth) > settlingTime {
-			late++
-		}
-	}
+	crashes, late := w.counts()
 	c.Logf("%d crashes, %d late requests with the part, %d of %d sound streams whole at the end", crashes, late, whole, sound)
 	c.Check(crashes >= 3, quicktest.IsTrue)
 	c.Check(late <= 3, quicktest.IsTrue)
