send: one function asks a target for its reported start

hasRestarted and isSameStart made the same request and the same checks of its response; both compare the result of reportedStart now. The comment of Misdirected is split.

--- a/entry/send/begin.go
+++ b/entry/send/begin.go
@@ -191,9 +191,14 @@
 
 // hasRestarted reports whether the process that reports at a target's address started after the target that was chosen.
 func (s *Sender) hasRestarted(ctx context.Context, target site.Target) bool {
-	if target.StartID == 0 {
-		return false
-	}
+	return target.StartID != 0 && s.reportedStart(ctx, target) > target.StartID
+}
+
+// reportedStart returns when the process that reports at a target's address started, or 0 if it does not tell.
+func (s *Sender) reportedStart(ctx context.Context, target site.Target) int64 {
 	reply, body, err := s.Exchange(ctx, target, s.Dialect.Ask(target))
-	return err == nil && reply.Status() == http.StatusOK && s.Dialect.StartID(body) > target.StartID
+	if err != nil || reply.Status() != http.StatusOK {
+		return 0
+	}
+	return s.Dialect.StartID(body)
 }
--- a/entry/send/successor.go
+++ b/entry/send/successor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"bramleywharf.example/core/cell"
@@ -41,10 +40,11 @@
 }
 
 // Misdirected handles a 421, which names the target that has answered or nothing. It reports false if that is the picked
-// one, which refuses the request for another reason. Otherwise it records that the picked target has ended. The target that answers there is used as
-// its successor only if it certainly belongs to the same service, which nothing that it says of itself shows: the platform
-// gives the address of an ended target to another service after AddressReuse at the earliest, and the picked target was
-// alive within that time.
+// one, which refuses the request for another reason. Otherwise it records that the picked target has ended.
+//
+// The target that answers there is used as the successor only if it certainly belongs to the same service, which nothing
+// that it says of itself shows: the platform gives the address of an ended target to another service after AddressReuse at
+// the earliest, and the picked target was alive within that time.
 func (s *Sender) Misdirected(ctx context.Context, pick *picker.Pick, successor string) bool {
 	if successor == pick.Target.Name || successor == "" && s.isSameStart(ctx, pick.Target) {
 		return false
@@ -66,11 +66,7 @@
 // isSameStart reports whether the target that reports at an address is in the start that is declared there. The answer only
 // keeps a target in use: requests name it, so that no other one runs them.
 func (s *Sender) isSameStart(ctx context.Context, target site.Target) bool {
-	if target.StartID == 0 {
-		return false
-	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	reply, body, err := s.Exchange(ctx, target, s.Dialect.Ask(target))
-	return err == nil && reply.Status() == http.StatusOK && s.Dialect.StartID(body) == target.StartID
+	return target.StartID != 0 && s.reportedStart(ctx, target) == target.StartID
 }
