--- a/review/stand3/crash.go
+++ b/review/stand3/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,7 +18,9 @@
 	crashRounds = 16
 	roundTime   = 5 * time.Second
 	drainTime   = 1200 * time.Millisecond // from the start of the drain to the crash, below drain_ms
-	streamGap   = 100 * time.Millisecond   // time between two streams
+	darkDelay   = 20 * time.Millisecond   // until nothing more fits into the queue of a lost machine
+	darkCheck   = 300 * time.Millisecond  // for a connection to a lost machine
+	streamGap   = 100 * time.Millisecond  // time between two streams
 )
 
 // drainingCrash drains one of seven model servers every five seconds, and kills it while it drains; a new one has started
@@ -35,6 +38,28 @@
 		engines = append(engines, start(i))
 	}
 	w.startInstances()
+	finish := w.startStreams()
+	for round := range crashRounds {
+		i := 1 + 2*(round%3) // one that sends some answers without a length
+		next := start(i)
+		leaving := engines[i]
+		engines[i] = next
+		_ = leaving.cmd.Process.Signal(syscall.SIGUSR1)
+		time.Sleep(drainTime)
+		if trouble {
+			_ = leaving.cmd.Process.Kill()
+			<-leaving.ended
+			w.note("killed %s while it was draining", leaving.name)
+			time.AfterFunc(3600*time.Millisecond, func() { w.store.expire(leaving.name) })
+		}
+		time.Sleep(roundTime - drainTime)
+	}
+	return finish()
+}
+
+// startStreams starts clients that ask for streams. The function that it returns ends them and returns how many streams broke
+// the rule ORDER.
+func (w *world) startStreams() (finish func() int) {
 	var broken atomic.Int32
 	var group sync.WaitGroup
 	stop := make(chan struct{})
@@ -52,24 +77,48 @@
 			})
 		}
 	})
+	return func() int {
+		close(stop)
+		group.Wait()
+		return int(broken.Load())
+	}
+}
+
+// lostMachine loses one of seven model servers for good every five seconds: its process is killed, and its address answers
+// nothing from then on. A new one at another address takes its place. Of the streams that clients get as complete, none may
+// lack a piece.
+func lostMachine(w *world, trouble bool) int {
+	w.configure()
+	var engines []*serverProcess
+	start := func(number int) *serverProcess {
+		if number%2 == 1 {
+			return w.startServer("engines", "-engine", "-inherited", "-unframed", unframedPart)
+		}
+		return w.startServer("engines", "-engine", "-inherited")
+	}
+	for i := range engineCount {
+		engines = append(engines, start(i))
+	}
+	w.startInstances()
+	finish := w.startStreams()
 	for round := range crashRounds {
-		i := 1 + 2*(round%3) // one that sends some answers without a length
-		next := start(i)
-		leaving := engines[i]
-		engines[i] = next
-		_ = leaving.cmd.Process.Signal(syscall.SIGUSR1)
-		time.Sleep(drainTime)
-		if trouble {
-			_ = leaving.cmd.Process.Kill()
-			<-leaving.ended
-			w.note("killed %s while it was draining", leaving.name)
-			time.AfterFunc(3600*time.Millisecond, func() { w.store.expire(leaving.name) })
+		time.Sleep(roundTime)
+		if !trouble {
+			continue
 		}
-		time.Sleep(roundTime - drainTime)
+		i := 1 + 2*(round%3) // one that sends some answers without a length
+		lost := engines[i]
+		_ = lost.cmd.Process.Signal(syscall.SIGSTOP) // It must not accept what fills its queue.
+		lost.goDark()
+		time.Sleep(darkDelay)
+		_ = lost.cmd.Process.Kill()
+		<-lost.ended
+		_, err := net.DialTimeout("tcp", lost.address, darkCheck)
+		w.note("lost %s; a new connection to it: %v", lost.name, err)
+		time.AfterFunc(3600*time.Millisecond, func() { w.store.expire(lost.name) })
+		engines[i] = start(i)
 	}
-	close(stop)
-	group.Wait()
-	return int(broken.Load())
+	return finish()
 }
 
 // stream sends one request for a stream and reports whether the answer kept the rule ORDER.
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(w *world, trouble bool) int{
 	"draining-crash": drainingCrash,
 	"plain-crash":    plainCrash,
+	"lost-machine":   lostMachine,
 }
 
 func main() {
--- a/review/stand3/server.go
+++ b/review/stand3/server.go
@@ -65,7 +65,7 @@
 // serverMain runs a server until it is killed, or has drained: SIGUSR1 starts that.
 func serverMain(args []string) {
 	var s server
-	ip := ""
+	ip, inherited := "", false
 	f := flag.NewFlagSet("server", flag.ExitOnError)
 	f.StringVar(&s.name, "name", "", "")
 	f.StringVar(&s.service, "service", "", "")
@@ -76,8 +76,13 @@
 	f.Float64Var(&s.unframed, "unframed", 0, "")
 	f.DurationVar(&s.work, "work", 15*time.Millisecond, "")
 	f.IntVar(&s.slots, "slots", 64, "")
+	f.BoolVar(&inherited, "inherited", false, "use the listening socket that the parent process holds too")
 	_ = f.Parse(args)
 	l, err := net.Listen("tcp", ip+":0")
+	if inherited {
+		_ = l.Close()
+		l, err = net.FileListener(os.NewFile(3, "listener"))
+	}
 	if err != nil {
 		fmt.Println("cannot listen:", err)
 		os.Exit(2)
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -13,8 +13,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -38,6 +40,17 @@
 	cmd           *exec.Cmd
 	args          []string
 	ended         chan struct{}
+	address       string
+	host          *os.File // host is the listening socket, if the case holds it as the server's machine does
+}
+
+// goDark lets the server's machine answer nothing any more: a connection is neither accepted nor refused, as the queue of its
+// listening socket is full. The server's process must not accept meanwhile.
+func (s *serverProcess) goDark() {
+	_ = syscall.Listen(int(s.host.Fd()), 0)
+	for range 3 { // They wait in the queue, the last one for its place there.
+		go func() { _, _ = net.DialTimeout("tcp", s.address, 30*time.Second) }()
+	}
 }
 
 var zones = []string{"zone-a", "zone-b", "zone-c"}
@@ -111,6 +124,15 @@
 	must(err)
 	s.args = append([]string{"server", "-name", s.name, "-service", service, "-zone", zones[number%3], "-ip", fmt.Sprintf("%s%d", w.base, 100+number%100), "-store", w.store.addr}, extra...)
 	s.cmd = exec.Command(self, s.args...)
+	if slices.Contains(extra, "-inherited") {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s%d:0", w.base, 100+number%100))
+		must(err)
+		s.address = l.Addr().String()
+		s.host, err = l.(*net.TCPListener).File()
+		must(err)
+		_ = l.Close()
+		s.cmd.ExtraFiles = []*os.File{s.host}
+	}
 	s.cmd.Stderr = os.Stderr
 	out, err := s.cmd.StdoutPipe()
 	must(err)
