--- a/review/stand3/crash.go
+++ b/review/stand3/crash.go
@@ -142,21 +142,26 @@
 }
 
 const (
-	plainCount  = 3
-	requestGap  = 20 * time.Millisecond
-	plainRounds = 16
+	plainCount  = 7
+	requestGap  = 19 * time.Millisecond
+	plainRounds = 45
+	plainRound  = 2 * time.Second
+	silence     = "600ms" // for which a server is silent within each answer
 )
 
-// plainCrash kills one of three servers of a plain service every four seconds; another one takes its place. Answers come
-// without a length; an answer of 200 has to hold the server's whole body.
+// plainCrash kills one of seven servers of a plain service every two seconds; another one takes its place. An answer of 200
+// has to hold the server's whole body.
 func plainCrash(w *world, trouble bool) int {
 	w.configure()
 	var orders []*serverProcess
-	start := func() *serverProcess {
-		return w.startServer("orders", "-unframed", "1", "-slots", "6", "-work", "30ms")
+	start := func(number int) *serverProcess {
+		if number%2 == 1 {
+			return w.startServer("orders", "-slots", "6", "-work", silence, "-unframed", unframedPart)
+		}
+		return w.startServer("orders", "-slots", "6", "-work", silence)
 	}
-	for range plainCount {
-		orders = append(orders, start())
+	for i := range plainCount {
+		orders = append(orders, start(i))
 	}
 	w.startInstances()
 	var broken atomic.Int32
@@ -177,16 +182,16 @@
 		}
 	})
 	for round := range plainRounds {
-		time.Sleep(4 * time.Second)
+		time.Sleep(plainRound)
 		if !trouble {
 			continue
 		}
-		i := round % plainCount
+		i := 1 + 2*(round%3) // one that sends some answers without a length
 		crashed := orders[i]
 		_ = crashed.cmd.Process.Kill()
 		<-crashed.ended
 		w.note("killed %s", crashed.name)
-		orders[i] = start()
+		orders[i] = start(i)
 		time.AfterFunc(3600*time.Millisecond, func() { w.store.expire(crashed.name) })
 	}
 	close(stop)
