Show that requests with a deadly part that come together are not blocked

Three requests with a part that crashes servers come at the same moment and crash six servers at two moments; a part is blocked after three moments only.

--- a/review/stand3/crash.go
+++ b/review/stand3/crash.go
@@ -17,46 +17,11 @@
 	engineCount = 7
 	crashRounds = 16
 	roundTime   = 5 * time.Second
-	drainTime   = 1200 * time.Millisecond // from the start of the drain to the crash, below drain_ms
-	darkDelay   = 20 * time.Millisecond   // until nothing more fits into the queue of a lost machine
-	darkCheck   = 300 * time.Millisecond  // for a connection to a lost machine
-	streamGap   = 100 * time.Millisecond  // time between two streams
+	darkDelay   = 20 * time.Millisecond  // until nothing more fits into the queue of a lost machine
+	darkCheck   = 300 * time.Millisecond // for a connection to a lost machine
+	streamGap   = 100 * time.Millisecond // time between two streams
 )
 
-// drainingCrash drains one of seven model servers every five seconds, and kills it while it drains; a new one has started
-// before. Of the streams that clients get as complete, none may lack a piece.
-func drainingCrash(w *world, trouble bool) int {
-	w.configure()
-	var engines []*serverProcess
-	start := func(number int) *serverProcess {
-		if number%2 == 1 {
-			return w.startServer("engines", "-engine", "-unframed", unframedPart)
-		}
-		return w.startServer("engines", "-engine")
-	}
-	for i := range engineCount {
-		engines = append(engines, start(i))
-	}
-	w.startInstances()
-	finish := w.startStreams()
-	for round := range crashRounds {
-		i := 1 + 2*(round%3) // one that sends some answers without a length
-		next := start(i)
-		leaving := engines[i]
-		engines[i] = next
-		_ = leaving.cmd.Process.Signal(syscall.SIGUSR1)
-		time.Sleep(drainTime)
-		if trouble {
-			_ = leaving.cmd.Process.Kill()
-			<-leaving.ended
-			w.note("killed %s while it was draining", leaving.name)
-			time.AfterFunc(3600*time.Millisecond, func() { w.store.expire(leaving.name) })
-		}
-		time.Sleep(roundTime - drainTime)
-	}
-	return finish()
-}
-
 // startStreams starts clients that ask for streams. The function that it returns ends them and returns how many streams broke
 // the rule ORDER.
 func (w *world) startStreams() (finish func() int) {
@@ -140,72 +105,3 @@
 	w.note("ORDER broken: %s ended as complete after %d of %d events", id, count, streamEvents)
 	return false
 }
-
-const (
-	plainCount  = 7
-	requestGap  = 19 * time.Millisecond
-	plainRounds = 45
-	plainRound  = 2 * time.Second
-	silence     = "600ms" // for which a server is silent within each answer
-)
-
-// plainCrash kills one of seven servers of a plain service every two seconds; another one takes its place. An answer of 200
-// has to hold the server's whole body.
-func plainCrash(w *world, trouble bool) int {
-	w.configure()
-	var orders []*serverProcess
-	start := func(number int) *serverProcess {
-		if number%2 == 1 {
-			return w.startServer("orders", "-slots", "6", "-work", silence, "-unframed", unframedPart)
-		}
-		return w.startServer("orders", "-slots", "6", "-work", silence)
-	}
-	for i := range plainCount {
-		orders = append(orders, start(i))
-	}
-	w.startInstances()
-	var broken atomic.Int32
-	var group sync.WaitGroup
-	stop := make(chan struct{})
-	group.Go(func() {
-		for n := 0; ; n++ {
-			select {
-			case <-stop:
-				return
-			case <-time.After(requestGap):
-			}
-			group.Go(func() {
-				if !w.order(fmt.Sprintf("order-%05d", n)) {
-					broken.Add(1)
-				}
-			})
-		}
-	})
-	for round := range plainRounds {
-		time.Sleep(plainRound)
-		if !trouble {
-			continue
-		}
-		i := 1 + 2*(round%3) // one that sends some answers without a length
-		crashed := orders[i]
-		_ = crashed.cmd.Process.Kill()
-		<-crashed.ended
-		w.note("killed %s", crashed.name)
-		orders[i] = start(i)
-		time.AfterFunc(3600*time.Millisecond, func() { w.store.expire(crashed.name) })
-	}
-	close(stop)
-	group.Wait()
-	return int(broken.Load())
-}
-
-// order sends one request that must not be repeated, and reports whether the answer kept the rule MIXED.
-func (w *world) order(id string) bool {
-	got := w.send("POST", "/order/"+id, id, 1500*time.Millisecond, "")
-	w.note("client: %s got status %d, %d of %d bytes, complete %v, error %v", id, got.status, len(got.body), bodySize, got.whole, got.err)
-	if got.status != 200 || !got.whole || got.body == plainBody(id) {
-		return true
-	}
-	w.note("MIXED broken: %s got a success with %d of the server's %d bytes", id, len(got.body), bodySize)
-	return false
-}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -12,9 +12,8 @@
 // cases maps names to what plays them; each returns how often the rule was broken. trouble is false for a run without the
 // disruption.
 var cases = map[string]func(w *world, trouble bool) int{
-	"draining-crash": drainingCrash,
-	"plain-crash":    plainCrash,
-	"lost-machine":   lostMachine,
+	"lost-machine": lostMachine,
+	"deadly-clump": deadlyClump,
 }
 
 func main() {
--- a/review/stand3/server.go
+++ b/review/stand3/server.go
@@ -54,6 +54,7 @@
 	unframed                            float64 // part of the answers that have neither a length nor chunks
 	work                                time.Duration
 	slots                               int
+	deadly                              string
 	born                                int64
 	draining                            atomic.Bool
 	running                             atomic.Int32
@@ -76,6 +77,7 @@
 	f.Float64Var(&s.unframed, "unframed", 0, "")
 	f.DurationVar(&s.work, "work", 15*time.Millisecond, "")
 	f.IntVar(&s.slots, "slots", 64, "")
+	f.StringVar(&s.deadly, "deadly", "", "part of prompts on which the server crashes as it begins to write an answer")
 	f.BoolVar(&inherited, "inherited", false, "use the listening socket that the parent process holds too")
 	_ = f.Parse(args)
 	l, err := net.Listen("tcp", ip+":0")
@@ -195,12 +197,20 @@
 	defer s.running.Add(-1)
 	unframed := float64(hash("framing "+id+s.name)%1000) < 1000*s.unframed
 	fmt.Printf("run %s at %s: %s %s, %d bytes, after event %q, unframed %v\n", id, s.name, r.Method, r.URL.Path, bodyBytes, r.Header.Get("Last-Event-Id"), unframed)
+	if s.isDeadly(r) {
+		fmt.Printf("deadly %s at %s\n", id, s.name)
+	}
 	if s.engine {
 		return s.stream(c, r, id, leaving, unframed)
 	}
 	return s.plain(c, id, leaving, unframed)
 }
 
+// isDeadly reports whether the prompt of a request has the part that crashes the server.
+func (s *server) isDeadly(r *http.Request) bool {
+	return s.deadly != "" && strings.Contains(r.Header.Get("X-Prompt-Prefix"), s.deadly+":")
+}
+
 func (s *server) report(c net.Conn, leaving string) {
 	s.mu.Lock()
 	runs := make([][]any, 0, len(s.runs))
@@ -230,6 +240,11 @@
 	if err != nil || last >= streamEvents {
 		return err == nil
 	}
+	if s.isDeadly(r) {
+		_, _ = fmt.Fprintf(c, "%x\r\n", len(event(id, last+1))) // The first bytes of the first event.
+		fmt.Printf("crash %s on %s\n", s.name, id)
+		os.Exit(3)
+	}
 	defer func() {
 		s.mu.Lock()
 		delete(s.runs, id)
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -40,6 +40,7 @@
 	cmd           *exec.Cmd
 	args          []string
 	ended         chan struct{}
+	onLine        func(line string) // onLine gets each line that the server writes, or is nil.
 	address       string
 	host          *os.File // host is the listening socket, if the case holds it as the server's machine does
 }
@@ -115,11 +116,16 @@
 
 // startServer starts a server and waits until it has registered itself.
 func (w *world) startServer(service string, extra ...string) *serverProcess {
+	return w.startServerWith(nil, service, extra...)
+}
+
+// startServerWith does the same and passes on the lines that the server writes.
+func (w *world) startServerWith(onLine func(string), service string, extra ...string) *serverProcess {
 	w.mu.Lock()
 	w.named++
 	number := w.named
 	w.mu.Unlock()
-	s := &serverProcess{name: fmt.Sprintf("i-%s-%d", service, number), service: service, ended: make(chan struct{})}
+	s := &serverProcess{name: fmt.Sprintf("i-%s-%d", service, number), service: service, ended: make(chan struct{}), onLine: onLine}
 	self, err := os.Executable()
 	must(err)
 	s.args = append([]string{"server", "-name", s.name, "-service", service, "-zone", zones[number%3], "-ip", fmt.Sprintf("%s%d", w.base, 100+number%100), "-store", w.store.addr}, extra...)
@@ -146,6 +152,9 @@
 		lines := bufio.NewScanner(out)
 		for lines.Scan() {
 			w.note("server: %s", lines.Text())
+			if s.onLine != nil {
+				s.onLine(lines.Text())
+			}
 			if strings.HasPrefix(lines.Text(), "ready ") {
 				close(ready)
 			}
