--- a/review/stand3/deadly.go
+++ b/review/stand3/deadly.go
@@ -2,18 +2,19 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
 )
 
 // A part of prompts crashes the servers that begin to write an answer on it. Eight requests with the part come within 22 s,
-// three and later five of them at the same time, beside some 170 sound ones of their kind.
+// three and later five of them at the same time, beside some 190 sound ones of their kind.
 const (
 	deadlyPart    = "0dead7ac"
 	deadlyEngines = 24
 	deadlyWindow  = 22 * time.Second
-	soundGap      = 125 * time.Millisecond // time between two sound requests
+	soundGap      = 115 * time.Millisecond // time between two sound requests
 	downTime      = 2 * time.Second        // until a server that has crashed is back, under another id
 	stableWindow  = 3 * time.Second
 	maxLate       = 3
@@ -57,7 +58,7 @@
 		send(fmt.Sprintf("sound-%04d", n), "aa01:200,bb01:800")
 		for trouble && clump < len(clumps) && time.Since(begin) >= warmUp+clumps[clump].at {
 			for i := range clumps[clump].size {
-				send(fmt.Sprintf("deadly-%d-%d", clump, i), "aa01:200,"+deadlyPart+":800")
+				send(fmt.Sprintf("deadly-%d-%d-%08x", clump, i, rand.Uint32()), "aa01:200,"+deadlyPart+":800")
 			}
 			clump++
 		}
