--- a/review/stand3/crash.go
+++ b/review/stand3/crash.go
@@ -80,7 +80,7 @@
 		<-lost.ended
 		_, err := net.DialTimeout("tcp", lost.address, darkCheck)
 		w.note("lost %s; a new connection to it: %v", lost.name, err)
-		time.AfterFunc(3600*time.Millisecond, func() { w.store.expire(lost.name) })
+		time.AfterFunc(3600*time.Millisecond, func() { w.store.Expire(lost.name) })
 		engines[i] = start(i)
 	}
 	return finish()
--- a/review/stand3/deadly.go
+++ b/review/stand3/deadly.go
@@ -73,7 +73,7 @@
 	s := o.world.startServerWith(o.note, "engines", "-deadly", deadlyPart)
 	go func() {
 		<-s.ended
-		time.AfterFunc(3600*time.Millisecond, func() { o.world.store.expire(s.name) })
+		time.AfterFunc(3600*time.Millisecond, func() { o.world.store.Expire(s.name) })
 		time.Sleep(downTime)
 		o.mu.Lock()
 		closing := o.closing
--- a/review/stand3/store.go
+++ b/review/stand3/store/store.go
@@ -1,6 +1,4 @@
-package main
-
-// The store of the platform: objects by kind and name, lists, watches and conditional writes, as PROTOCOL.md tells.
+package store
 
 import (
 	"encoding/json"
@@ -31,26 +29,29 @@
 	kind    string
 	rev     uint64
 }
-type store struct {
+
+// Store is the store of the platform.
+type Store struct {
 	mu      sync.Mutex
 	rev     uint64
 	objs    map[string]map[string]object
 	hist    []change
 	changed chan struct{}
-	addr    string
+	Addr    string // Addr is the address at which the store listens.
 }
 
-func newStore(addr string) (*store, error) {
-	s := &store{rev: 100, objs: map[string]map[string]object{}, changed: make(chan struct{})}
+// New starts a store at an address.
+func New(addr string) (*Store, error) {
+	s := &Store{rev: 100, objs: map[string]map[string]object{}, changed: make(chan struct{})}
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	s.addr = l.Addr().String()
+	s.Addr = l.Addr().String()
 	go func() { _ = http.Serve(l, s) }()
 	return s, nil
 }
-func (s *store) bump(kind string, o object, del bool) object {
+func (s *Store) bump(kind string, o object, del bool) object {
 	s.rev++
 	if !del {
 		o.Metadata.Revision = s.rev
@@ -69,7 +70,9 @@
 	s.changed = make(chan struct{})
 	return o
 }
-func (s *store) put(kind, name string, spec any) {
+
+// Put creates or replaces an object, as the operator does.
+func (s *Store) Put(kind, name string, spec any) {
 	raw, _ := json.Marshal(spec)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,14 +84,16 @@
 	o.Spec = raw
 	s.bump(kind, o, false)
 }
-func (s *store) del(kind, name string) {
+func (s *Store) del(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if o, ok := s.objs[kind][name]; ok {
 		s.bump(kind, o, true)
 	}
 }
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+
+// ServeHTTP answers one call.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p := strings.Split(strings.TrimPrefix(r.URL.Path, "/bramleywharf/objects/"), "/")
 	kind := p[0]
 	send := func(code int, v any) {
@@ -181,5 +186,5 @@
 	}
 }
 
-// expire removes the entry of a server that has been silent.
-func (s *store) expire(name string) { s.del("servers", name) }
+// Expire removes the entry of a server that has been silent.
+func (s *Store) Expire(name string) { s.del("servers", name) }
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -18,12 +18,14 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"bramleywharf.example/review/stand3/store"
 )
 
 // world is everything that a case has started.
 type world struct {
 	base, program, dir string
-	store              *store
+	store              *store.Store
 	record             *os.File
 	began              time.Time
 
@@ -82,7 +84,7 @@
 	must(err)
 	for range 20 {
 		w.base = fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250))
-		if w.store, err = newStore(w.base + "250:0"); err == nil {
+		if w.store, err = store.New(w.base + "250:0"); err == nil {
 			break
 		}
 	}
@@ -128,7 +130,7 @@
 	s := &serverProcess{name: fmt.Sprintf("i-%s-%d", service, number), service: service, ended: make(chan struct{}), onLine: onLine}
 	self, err := os.Executable()
 	must(err)
-	s.args = append([]string{"server", "-name", s.name, "-service", service, "-zone", zones[number%3], "-ip", fmt.Sprintf("%s%d", w.base, 100+number%100), "-store", w.store.addr}, extra...)
+	s.args = append([]string{"server", "-name", s.name, "-service", service, "-zone", zones[number%3], "-ip", fmt.Sprintf("%s%d", w.base, 100+number%100), "-store", w.store.Addr}, extra...)
 	s.cmd = exec.Command(self, s.args...)
 	if slices.Contains(extra, "-inherited") {
 		l, err := net.Listen("tcp", fmt.Sprintf("%s%d:0", w.base, 100+number%100))
@@ -244,7 +246,7 @@
 	for i := range instanceCount {
 		ip := fmt.Sprintf("%s%d", w.base, 1+i)
 		path := fmt.Sprintf("%s/front-%d.toml", w.dir, i)
-		must(os.WriteFile(path, fmt.Appendf(nil, settings, i, ip, zones[i%3], strings.Join(seeds, ","), w.store.addr), 0o600))
+		must(os.WriteFile(path, fmt.Appendf(nil, settings, i, ip, zones[i%3], strings.Join(seeds, ","), w.store.Addr), 0o600))
 		cmd := exec.Command(w.program, "serve")
 		cmd.Env = []string{"BRAMLEYWHARF_BOOT=" + path, "PATH=" + os.Getenv("PATH"), "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING=true"}
 		must(cmd.Start())
@@ -278,7 +280,7 @@
 		"slots": 64, "kv_capacity_tokens": 88000, "kv_token_bytes": 18432, "link_mbps": 370000.0, "moves": true, "backups": true, "stride": 7, "most": 12,
 		"pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 4.0, "models": []any{map[string]any{"name": "m"}},
 	}
-	w.store.put("config", "main", map[string]any{
+	w.store.Put("config", "main", map[string]any{
 		"version": 7,
 		"routes": []any{
 			map[string]any{"name": "r-brief", "host": "shop.example", "path_prefix": "/brief/", "kind": "streaming", "timeout_ms": 25000, "target_latency_ms": 4500, "priority": 1, "service": "engines", "max_attempts": 5, "public": false, "sticky": true, "resumable": true, "gap_aim_ms": 700},
