Bring the review's cases inside the limits that they quote

The streams come at the sheet's rate (6.2 a second) in place of a burst's, and the share of requests with the part in case 12 is 0.049 over the time from the first to the last of them; it was 0.07.

--- a/review/stand3/crash.go
+++ b/review/stand3/crash.go
@@ -15,11 +15,11 @@
 
 const (
 	engineCount = 8
-	crashRounds = 16
-	roundTime   = 5 * time.Second
+	crashRounds = 27
+	roundTime   = 3 * time.Second
 	darkDelay   = 20 * time.Millisecond  // until nothing more fits into the queue of a lost machine
 	darkCheck   = 300 * time.Millisecond // for a connection to a lost machine
-	streamGap   = 100 * time.Millisecond // time between two streams
+	streamGap   = 160 * time.Millisecond // time between two streams: 6.2 a second, as on the sheet
 )
 
 // startStreams starts clients that ask for streams. The function that it returns ends them and returns how many streams broke
@@ -49,7 +49,7 @@
 	}
 }
 
-// lostMachine loses one of eight model servers for good every five seconds: its process is killed, and its address answers
+// lostMachine loses one of eight model servers for good every three seconds: its process is killed, and its address answers
 // nothing from then on. A new one at another address takes its place. Of the streams that clients get as complete, none may
 // lack a piece.
 func lostMachine(w *world, trouble bool) int {
--- a/review/stand3/deadly.go
+++ b/review/stand3/deadly.go
@@ -8,13 +8,13 @@
 	"time"
 )
 
-// A part of prompts crashes the servers that begin to write an answer on it. Eight requests with the part come within 22 s,
-// three and later five of them at the same time, beside some 190 sound ones of their kind.
+// A part of prompts crashes the servers that begin to write an answer on it. Seven requests with the part come within 22 s,
+// three and later four of them at the same time, beside some 135 sound ones of their kind.
 const (
 	deadlyPart    = "0dead7ac"
 	deadlyEngines = 24
 	deadlyWindow  = 22 * time.Second
-	soundGap      = 115 * time.Millisecond // time between two sound requests
+	soundGap      = 160 * time.Millisecond // time between two sound requests: 6.2 a second, as on the sheet
 	downTime      = 2 * time.Second        // until a server that has crashed is back, under another id
 	stableWindow  = 3 * time.Second
 	maxLate       = 3
@@ -24,7 +24,7 @@
 var clumps = []struct {
 	at   time.Duration
 	size int
-}{{0, 3}, {12 * time.Second, 5}}
+}{{0, 3}, {21600 * time.Millisecond, 4}}
 
 // outbreak is what the servers have seen of the part.
 type outbreak struct {
