Show that a part that takes servers' machines with it is never found

Cause: only an answer that its target ends at the begin counts as a crash of a part (EndedByTarget). A server that goes dark ends nothing; the monitor gives it up by a probe, and the loss is recorded for no part.

--- a/review/stand3/deadly.go
+++ b/review/stand3/deadly.go
@@ -20,11 +20,11 @@
 	maxLate       = 3
 )
 
-// clumps are the requests with the part, by the time in the window.
-var clumps = []struct {
+// clump is a number of requests with the part that come at one time in the window.
+type clump struct {
 	at   time.Duration
 	size int
-}{{0, 3}, {21600 * time.Millisecond, 4}}
+}
 
 // outbreak is what the servers have seen of the part.
 type outbreak struct {
@@ -44,6 +44,13 @@
 		o.keep()
 	}
 	w.startInstances()
+	o.play(trouble, []clump{{0, 3}, {21600 * time.Millisecond, 4}})
+	return o.judge()
+}
+
+// play sends sound requests and, with trouble, clumps of requests with the part, and waits for the answers.
+func (o *outbreak) play(trouble bool, clumps []clump) {
+	w := o.world
 	var group sync.WaitGroup
 	send := func(id, parts string) {
 		group.Go(func() {
@@ -53,19 +60,18 @@
 		})
 	}
 	const warmUp = 10 * time.Second // The first streams have ended by then.
-	begin, clump := time.Now(), 0
+	begin, next := time.Now(), 0
 	for n := 0; time.Since(begin) < warmUp+deadlyWindow; n++ {
 		send(fmt.Sprintf("sound-%04d", n), "aa01:200,bb01:800")
-		for trouble && clump < len(clumps) && time.Since(begin) >= warmUp+clumps[clump].at {
-			for i := range clumps[clump].size {
-				send(fmt.Sprintf("deadly-%d-%d-%08x", clump, i, rand.Uint32()), "aa01:200,"+deadlyPart+":800")
+		for trouble && next < len(clumps) && time.Since(begin) >= warmUp+clumps[next].at {
+			for i := range clumps[next].size {
+				send(fmt.Sprintf("deadly-%d-%d-%08x", next, i, rand.Uint32()), "aa01:200,"+deadlyPart+":800")
 			}
-			clump++
+			next++
 		}
 		time.Sleep(soundGap)
 	}
 	group.Wait()
-	return o.judge()
 }
 
 // keep starts a server, and another one whenever it has crashed.
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -10,8 +10,9 @@
 // cases maps names to what plays them; each returns how often the rule was broken. trouble is false for a run without the
 // disruption.
 var cases = map[string]func(w *world, trouble bool) int{
-	"lost-machine": lostMachine,
-	"deadly-clump": deadlyClump,
+	"lost-machine":  lostMachine,
+	"deadly-clump":  deadlyClump,
+	"deadly-silent": deadlySilent,
 }
 
 func main() {
--- a/review/stand3/server.go
+++ b/review/stand3/server.go
@@ -18,6 +18,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -45,6 +46,7 @@
 	unframed                            float64 // part of the answers that have neither a length nor chunks
 	slots                               int
 	deadly                              string
+	dark                                bool // its machine goes silent on the deadly part
 	born                                int64
 	running                             atomic.Int32
 	sequence                            atomic.Int64
@@ -65,6 +67,7 @@
 	f.Float64Var(&s.unframed, "unframed", 0, "")
 	f.IntVar(&s.slots, "slots", 64, "")
 	f.StringVar(&s.deadly, "deadly", "", "part of prompts on which the server crashes as it begins to write an answer")
+	f.BoolVar(&s.dark, "dark", false, "on the deadly part the machine goes silent, and the process ends later")
 	f.BoolVar(&inherited, "inherited", false, "use the listening socket that the parent process holds too")
 	_ = f.Parse(args)
 	l, err := net.Listen("tcp", ip+":0")
@@ -198,6 +201,10 @@
 	if s.isDeadly(r) {
 		_, _ = fmt.Fprintf(c, "%x\r\n", len(event(id, last+1))) // The first bytes of the first event.
 		fmt.Printf("crash %s on %s\n", s.name, id)
+		if s.dark {
+			_ = syscall.Kill(os.Getpid(), syscall.SIGSTOP) // Its connections stay open until the machine is started again.
+			select {}                                      // The signal takes a moment.
+		}
 		os.Exit(3)
 	}
 	defer func() {
