--- a/review/stand3/crash.go
+++ b/review/stand3/crash.go
@@ -97,7 +97,7 @@
 	}
 	var want strings.Builder
 	for number := 1; number <= streamEvents; number++ {
-		want.WriteString(event(id, number))
+		want.WriteString(event(id, number, 1))
 	}
 	if got.body == want.String() {
 		return true
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -13,6 +13,7 @@
 	"lost-machine":  lostMachine,
 	"deadly-clump":  deadlyClump,
 	"deadly-silent": deadlySilent,
+	"planned-stop":  plannedStop,
 }
 
 func main() {
--- a/review/stand3/server.go
+++ b/review/stand3/server.go
@@ -36,15 +36,15 @@
 
 func signature(id string) string { return fmt.Sprintf("%08x.%s", hash("signature "+id), id) }
 
-// event returns one event of the stream that answers a request, the same at each server.
-func event(id string, number int) string {
-	return fmt.Sprintf("id: %d\ndata: %s piece %d %08x\n\n", number, id, number, hash(id+strconv.Itoa(number)))
+// event returns one event of the stream that answers a request, the same at each server; step is that of the events' ids.
+func event(id string, number, step int) string {
+	return fmt.Sprintf("id: %d\ndata: %s piece %d %08x\n\n", number*step, id, number, hash(id+strconv.Itoa(number)))
 }
 
 type server struct {
 	name, service, zone, address, store string
 	unframed                            float64 // part of the answers that have neither a length nor chunks
-	slots                               int
+	slots, step                         int
 	deadly                              string
 	dark                                bool // its machine goes silent on the deadly part
 	born                                int64
@@ -65,6 +65,7 @@
 	f.StringVar(&ip, "ip", "", "")
 	f.StringVar(&s.store, "store", "", "")
 	f.Float64Var(&s.unframed, "unframed", 0, "")
+	f.IntVar(&s.step, "step", 1, "difference of the ids of two events")
 	f.IntVar(&s.slots, "slots", 64, "")
 	f.StringVar(&s.deadly, "deadly", "", "part of prompts on which the server crashes as it begins to write an answer")
 	f.BoolVar(&s.dark, "dark", false, "on the deadly part the machine goes silent, and the process ends later")
@@ -187,6 +188,7 @@
 func (s *server) stream(c net.Conn, r *http.Request, id string, unframed bool) bool {
 	time.Sleep(readTime)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	last /= s.step
 	framing := "Transfer-Encoding: chunked\r\n"
 	if unframed {
 		framing = ""
@@ -199,7 +201,7 @@
 		return err == nil
 	}
 	if s.isDeadly(r) {
-		_, _ = fmt.Fprintf(c, "%x\r\n", len(event(id, last+1))) // The first bytes of the first event.
+		_, _ = fmt.Fprintf(c, "%x\r\n", len(event(id, last+1, s.step))) // The first bytes of the first event.
 		fmt.Printf("crash %s on %s\n", s.name, id)
 		if s.dark {
 			_ = syscall.Kill(os.Getpid(), syscall.SIGSTOP) // Its connections stay open until the machine is started again.
@@ -213,7 +215,7 @@
 		s.mu.Unlock()
 	}()
 	for number := last + 1; number <= streamEvents; number++ {
-		text := event(id, number)
+		text := event(id, number, s.step)
 		if !unframed {
 			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 		}
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -328,7 +328,12 @@
 
 // send sends one request on a new connection and returns what came back.
 func (w *world) send(method, path, id string, deadline time.Duration, header string) reply {
-	c, err := net.DialTimeout("tcp", w.resolve(), time.Second)
+	return w.sendTo(w.resolve(), method, path, id, deadline, header)
+}
+
+// sendTo does the same at one instance.
+func (w *world) sendTo(address, method, path, id string, deadline time.Duration, header string) reply {
+	c, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return reply{err: err}
 	}
