Keep case 12 of the review within the share of dark servers

Cause: its seven requests, 3 s apart, had up to nine of 24 servers dark at once; the site file has srv_crash "dark" with share 0.17.

--- a/review/stand3/silent.go
+++ b/review/stand3/silent.go
@@ -8,9 +8,9 @@
 // The part takes the machine of the server with it: its connections stay open, nothing is answered and new connections hang,
 // until the machine is started again.
 const (
-	silentRequests = 7
-	silentGap      = 3 * time.Second         // time between two requests with the part
-	silentTime     = 4500 * time.Millisecond // until the machine is started again
+	silentRequests = 4
+	silentGap      = 7 * time.Second         // time between two requests with the part
+	silentTime     = 3500 * time.Millisecond // until the machine is started again
 	lapseTime      = 3600 * time.Millisecond
 )
 
