merge: events of a stream may be numbered in any increasing order

Cause: event.Follows let only the next whole number follow a number. The users' pages say that ids increase, and no more; the log names the check for each cut stream.

Change: core/series judges an id by the last one and by the steps seen so far, and entry/merge, which holds them for a stream, delays an event of an unusual step until the next one tells, at most 100 ms. TestFollows goes with its function; TestJudge has its rows, but for skipped-number: within a response a larger step is allowed by the pages, and is now held and checked against the next event.

Ruled out: taking any larger id at every place (events of other streams and gaps after a join would pass); repeating the last event at each join to compare it (targets need not write the same text twice).

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 # Packages whose tests use testing/synctest run with -cpu 1: Go 1.26's race detector sometimes crashes when two threads
 # run timers of one synctest bubble at the same time. The fault matrix is split into parts that run in parallel.
-VIRTUAL := ./core/audit ./core/store ./entry/block ./entry/board ./entry/feed ./entry/filter ./entry/fleet ./entry/outbox ./entry/picker ./entry/queue ./entry/recall ./entry/shift ./entry/stop ./entry/internal/gate ./platform/stand
+VIRTUAL := ./core/audit ./core/store ./entry/block ./entry/board ./entry/feed ./entry/filter ./entry/fleet ./entry/merge ./entry/outbox ./entry/picker ./entry/queue ./entry/recall ./entry/shift ./entry/stop ./entry/internal/gate ./platform/stand
 # Package platform/internal/cmds runs whole instances and waits for most of its six minutes; beside other work that comes near
 # the ten minutes that go test allows a package by default.
 TEST_TIMEOUT := 20m
--- a/entry/event/event.go
+++ b/entry/event/event.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"io"
-	"strconv"
 
 	"github.com/pkg/errors"
 )
@@ -118,26 +117,3 @@
 	}
 	return true
 }
-
-// Follows reports whether an event may come after the one with the last id: if that is a number, only the next number
-// may.
-func Follows(lastID, id string) bool {
-	last, ok := number(lastID)
-	if !ok {
-		return true
-	}
-	next, ok := number(id)
-	return ok && next == last+1
-}
-
-// IsNumber reports whether an id is a number, so that only one event may follow it.
-func IsNumber(id string) bool {
-	_, ok := number(id)
-	return ok
-}
-
-// number returns the number that an id stands for, and whether it is one.
-func number(id string) (int64, bool) {
-	n, err := strconv.ParseInt(id, 10, 64)
-	return n, err == nil
-}
--- a/entry/event/event_test.go
+++ b/entry/event/event_test.go
@@ -64,26 +64,3 @@
 		}
 	}
 }
-
-func TestFollows(t *testing.T) {
-	cases := map[string]struct {
-		lastID, id string
-		want       bool
-	}{
-		"no-last-id":        {lastID: "", id: "1", want: true},
-		"next-number":       {lastID: "41", id: "42", want: true},
-		"same-number":       {lastID: "41", id: "41"},
-		"skipped-number":    {lastID: "41", id: "43"},
-		"lower-number":      {lastID: "41", id: "1"},
-		"not-numbers":       {lastID: "a", id: "b", want: true},
-		"without-id":        {lastID: "41", id: ""},
-		"name-after-number": {lastID: "41", id: "b"},
-		"unnumbered":        {lastID: "", id: "", want: true},
-		"after-zero":        {lastID: "0", id: "1", want: true},
-	}
-	for name, test := range cases {
-		t.Run(name, func(t *testing.T) {
-			quicktest.Assert(t, Follows(test.lastID, test.id), quicktest.Equals, test.want)
-		})
-	}
-}
--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"time"
 
-	"bramleywharf.example/core/flow"
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/event"
 	"bramleywharf.example/entry/guard"
+	"bramleywharf.example/entry/merge"
 	"bramleywharf.example/entry/offer"
 	"bramleywharf.example/entry/picker"
 	"bramleywharf.example/entry/send"
@@ -69,12 +69,13 @@
 	isRepeat  bool           // whether a retry was counted for the attempt
 	isCounted bool           // whether the attempt counts as one more target of the request
 	accepted  offer.Accepted // response of a target that has begun to answer
-	hasBegun  bool           // whether the target has begun to answer
-	received  int            // events that were received
-	firstAt   time.Time      // when the first of them was received
-	isSuspect bool           // whether the target was reported as lost although the attempt goes on
-	isKept    bool           // whether it was recorded that the stream stays with its silent target
-	silence   guard.Silence  // last silence that its monitor reported, or the zero value
+	response  *merge.Response
+	hasBegun  bool          // whether the target has begun to answer
+	received  int           // events that were received
+	firstAt   time.Time     // when the first of them was received
+	isSuspect bool          // whether the target was reported as lost although the attempt goes on
+	isKept    bool          // whether it was recorded that the stream stays with its silent target
+	silence   guard.Silence // last silence that its monitor reported, or the zero value
 }
 
 // steps returns the channel of the attempt's steps, or nil for no attempt.
@@ -95,13 +96,13 @@
 
 // open starts an attempt at a target, from a replica unless that is nil.
 func (s *stream) open(ctx context.Context, pick *picker.Pick, from *guard.Replica) *attempt {
-	a := &attempt{pick: pick, replica: from, startedAt: time.Now(), isRepeat: s.reservation.Take(), isCounted: !s.refusers.Has(pick.Target)}
+	a := &attempt{pick: pick, replica: from, startedAt: time.Now(), response: s.events.NewResponse(), isRepeat: s.reservation.Take(), isCounted: !s.refusers.Has(pick.Target)}
 	s.refusers = s.refusers.Without(pick.Target)
 	if a.isCounted {
 		s.sendCount++
 	}
 	s.choice.Sent(pick.Target, s.call.Route.Name, s.request.Prompt.Tokens())
-	outgoing := send.Send{Call: s.call, Target: pick.Target, Left: time.Until(s.request.Deadline), After: s.lastEventID}
+	outgoing := send.Send{Call: s.call, Target: pick.Target, Left: time.Until(s.request.Deadline), After: s.events.LastID()}
 	if from != nil {
 		outgoing.Source = from.Source
 	}
@@ -156,12 +157,16 @@
 			return result
 		}
 	case offer.End:
-		if !s.isEnd(a) {
+		last := a.response.End()
+		if len(last) == 0 && !s.isEnd(a) {
 			return interruptedBy(errors.New("response ended before its first event"))
 		}
 		if !a.accepted.Delimited() && s.sender.EndedByCrash(ctx, a.pick.Target) {
 			return s.brokenOff(a, errors.New("target crashed as its response ended"))
 		}
+		if result := s.pass(a, last); result != nil {
+			return result
+		}
 		s.begins.Answered()
 		return completed{}
 	case offer.Broken:
@@ -184,34 +189,48 @@
 	return a.received > 0 || s.head.IsSent() && a.accepted.StatesLength()
 }
 
-// relay delivers an event to the caller. It returns the outcome if that ends the attempt, otherwise nil.
+// relay takes an event of a response and delivers what is then known to belong to the stream. It returns the outcome if that
+// ends the attempt, otherwise nil.
 func (s *stream) relay(a *attempt, e offer.Event) outcome {
-	if !event.Follows(s.lastEventID, e.ID) {
-		return interruptedBy(errors.Errorf("event %s does not follow event %s", e.ID, s.lastEventID))
-	}
 	a.monitor.RecordEvent()
-	s.resetOffers() // The caller may be slow to take the event; the other target must not run the stream meanwhile.
-	a.isKept = false
-	if a.isSuspect {
-		a.isSuspect = false
-		a.pick.Heard()
+	events, err := a.response.Take(e.Event, s.mayMove)
+	if err != nil {
+		return interruptedBy(err)
 	}
-	if a.received == 0 {
-		a.firstAt = time.Now()
-		a.pick.Read()
-		a.pick.Heard()
-		s.countResume(a)
-		if a.holder.Name != "" {
-			s.replicas.Track(a.holder)
+	return s.pass(a, events)
+}
+
+// mayMove reports whether another target can take the stream at once, and reserves a retry for it.
+func (s *stream) mayMove() bool {
+	return s.policy.Resumable && s.MayRetry() && s.HasAlternative() && s.Reserve()
+}
+
+// pass delivers events to the caller. It returns the outcome if that ends the attempt, otherwise nil.
+func (s *stream) pass(a *attempt, events []event.Event) outcome {
+	for _, e := range events {
+		s.resetOffers() // The caller may be slow to take the event; the other target must not run the stream meanwhile.
+		a.isKept = false
+		if a.isSuspect {
+			a.isSuspect = false
+			a.pick.Heard()
 		}
+		if a.received == 0 {
+			a.firstAt = time.Now()
+			a.pick.Read()
+			a.pick.Heard()
+			s.countResume(a)
+			if a.holder.Name != "" {
+				s.replicas.Track(a.holder)
+			}
+		}
+		s.begins.Progressed(a.received, a.firstAt)
+		if err := s.deliver(a, e); errors.Is(err, offer.ErrFirstEventTimeout) {
+			return expired{}
+		} else if err != nil {
+			return callerGone{}
+		}
+		a.monitor.RecordEvent() // The target is not silent while the caller is slow to take its event.
 	}
-	s.begins.Progressed(a.received, a.firstAt)
-	if err := s.deliver(a, e); errors.Is(err, offer.ErrFirstEventTimeout) {
-		return expired{}
-	} else if err != nil {
-		return callerGone{}
-	}
-	a.monitor.RecordEvent() // The target is not silent while the caller is slow to take its event.
 	return nil
 }
 
@@ -219,13 +238,12 @@
 func (s *stream) countResume(a *attempt) {
 	if s.head.IsSent() {
 		s.resumeCount++
-		s.sender.Counts.Resumed(time.Since(s.lastEventAt), a.replica != nil)
+		s.sender.Counts.Resumed(time.Since(s.timing.LastAt), a.replica != nil)
 	}
 }
 
-// deliver sends one event to the caller, after the head of the response if that was not sent yet. The pause before
-// the first event of an attempt says nothing about the pace of the engine and does not change its estimate.
-func (s *stream) deliver(a *attempt, e offer.Event) error {
+// deliver sends one event to the caller, after the head of the response if that was not sent yet.
+func (s *stream) deliver(a *attempt, e event.Event) error {
 	if !s.head.IsSent() {
 		if !s.head.Send() {
 			return offer.ErrFirstEventTimeout
@@ -237,23 +255,7 @@
 	if err := s.request.Outlet.Event(e.Raw); err != nil {
 		return fmt.Errorf("send event: %w", err)
 	}
-	now := time.Now()
-	if s.lastEventAt.IsZero() {
-		s.firstEventDelay = now.Sub(s.request.Received)
-		s.sender.Counts.First.Update(s.firstEventDelay.Seconds())
-	} else {
-		gap := now.Sub(s.lastEventAt)
-		s.longestGap = max(s.longestGap, gap)
-		s.sender.Counts.Pause.Update(gap.Seconds())
-		if a.received > 0 {
-			s.sender.Learn(s.service, func(p flow.PauseEstimate) flow.PauseEstimate { return p.WithPause(gap) })
-		}
-	}
-	s.lastEventAt = now
+	s.timing.Delivered(s.sender, s.service, s.request.Received, a.received == 0)
 	a.received++
-	s.eventCount++
-	if e.ID != "" {
-		s.lastEventID = e.ID
-	}
 	return nil
 }
--- a/entry/flight/ending.go
+++ b/entry/flight/ending.go
@@ -28,7 +28,7 @@
 		if s.resumeCount == 0 {
 			s.sender.Queue.Learn(s.service, time.Since(a.startedAt), s.request.Prompt.Tokens())
 		}
-		return chain.Finished{Events: s.eventCount, Resumed: s.resumeCount, First: s.firstEventDelay, Pause: s.longestGap}, true
+		return chain.Finished{Events: s.timing.Events, Resumed: s.resumeCount, First: s.timing.First, Pause: s.timing.Longest}, true
 	case wholeResponse:
 		if !s.head.IsSent() && !(r.response.Failed() && s.policy.Resumable) {
 			return r.response, true
@@ -100,7 +100,7 @@
 	switch {
 	case s.mayHaveRun && !s.policy.Resumable:
 		reason = "its target failed and it may not be resumed"
-	case !s.hasOrder():
+	case !s.events.IsOrdered():
 		reason = "its target failed and its events have no numbers to resume after"
 	case !s.hasAttemptsLeft() && !s.mayAskRefusers():
 		reason = "its attempts are used up"
@@ -150,7 +150,7 @@
 
 // stoppedAnswer returns the answer of a stream that ends since the instance stops.
 func (s *stream) stoppedAnswer(work chain.Work) chain.Answer {
-	return chain.Stopped{Answer: s.finalAnswer(chain.ErrStopping.Error()), Work: work, Events: s.eventCount}
+	return chain.Stopped{Answer: s.finalAnswer(chain.ErrStopping.Error()), Work: work, Events: s.timing.Events}
 }
 
 // isBetterElsewhere reports whether the caller is better served elsewhere, as the instance stops and no event was sent.
@@ -181,8 +181,8 @@
 		"domain":   a.pick.Target.Domain,
 		"service":  s.service,
 		"sends":    s.sendCount,
-		"events":   s.eventCount,
-		"last":     s.lastEventID,
+		"events":   s.timing.Events,
+		"last":     s.events.LastID(),
 		"after-ms": time.Since(a.startedAt).Milliseconds(),
 		"holder":   s.replicas.HolderName(),
 	}
@@ -190,8 +190,8 @@
 	case notRun:
 		s.sender.Log.WithFields(fields).WithField("cause", r.cause).Info("target did not run the stream")
 	case interrupted:
-		if !s.lastEventAt.IsZero() {
-			fields["silence-ms"] = time.Since(s.lastEventAt).Milliseconds()
+		if !s.timing.LastAt.IsZero() {
+			fields["silence-ms"] = time.Since(s.timing.LastAt).Milliseconds()
 		}
 		fields["ended-by"] = string(r.endedBy)
 		if r.atBegin {
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -10,8 +10,8 @@
 	"bramleywharf.example/core/site"
 	"bramleywharf.example/core/wait"
 	"bramleywharf.example/entry/chain"
-	"bramleywharf.example/entry/event"
 	"bramleywharf.example/entry/guard"
+	"bramleywharf.example/entry/merge"
 	"bramleywharf.example/entry/offer"
 	"bramleywharf.example/entry/picker"
 	"bramleywharf.example/entry/send"
@@ -35,37 +35,34 @@
 // stream is the state of one streamed request over all its attempts. One goroutine owns it; others use only the atomic
 // fields and those that never change.
 type stream struct {
-	sender          *send.Sender
-	call            chain.Call
-	request         chain.Forward
-	policy          site.Stream
-	service         string
-	memoryTokens    int                         // capacity of one target in tokens, or 0
-	avoided         atomic.Pointer[offer.Names] // targets that failed an attempt; also read by monitors
-	current         *attempt                    // attempt whose events the caller gets, or nil
-	next            *attempt                    // attempt that may take the place of current, or nil
-	overlap         offer.Overlap               // time in which the stream is open at both; the zero value without next
-	silence         guard.Silence               // why next was opened
-	spacing         retry.Spacing               // time to leave between the offers that are refused
-	nextOfferAt     time.Time                   // time before which no other target is offered the stream
-	refusers        offer.Refusers              // targets that may be asked again
-	usedAddresses   map[string]bool             // addresses that the request was sent to
-	sendCount       int                         // attempts whose target may have received the request
-	unsentCount     int                         // attempts that did not reach the intended target
-	resumeCount     int                         // times the stream went on at another target after its first event
-	begins          *send.Begins                // targets that were lost at the begin of their answers
-	eventCount      int                         // events delivered to the caller
-	lastEventID     string                      // id of the last event that the caller has
-	head            offer.Head                  // what has become of the head of the response
-	mayHaveRun      bool                        // whether a target may have run the request
-	reservation     *send.Reservation
-	choice          *shift.Choice // version of the targets
-	endedBy         chain.Ending  // what ended the last interrupted attempt, or empty
-	failedResponse  *chain.Passed // a target's error response, passed on if no other attempt succeeds
-	replicas        *guard.Replicas
-	lastEventAt     time.Time     // when the last event was delivered
-	firstEventDelay time.Duration // time from the arrival of the request to the first event
-	longestGap      time.Duration // longest time between two events
+	sender         *send.Sender
+	call           chain.Call
+	request        chain.Forward
+	policy         site.Stream
+	service        string
+	memoryTokens   int                         // capacity of one target in tokens, or 0
+	avoided        atomic.Pointer[offer.Names] // targets that failed an attempt; also read by monitors
+	current        *attempt                    // attempt whose events the caller gets, or nil
+	next           *attempt                    // attempt that may take the place of current, or nil
+	overlap        offer.Overlap               // time in which the stream is open at both; the zero value without next
+	silence        guard.Silence               // why next was opened
+	spacing        retry.Spacing               // time to leave between the offers that are refused
+	nextOfferAt    time.Time                   // time before which no other target is offered the stream
+	refusers       offer.Refusers              // targets that may be asked again
+	usedAddresses  map[string]bool             // addresses that the request was sent to
+	sendCount      int                         // attempts whose target may have received the request
+	unsentCount    int                         // attempts that did not reach the intended target
+	resumeCount    int                         // times the stream went on at another target after its first event
+	begins         *send.Begins                // targets that were lost at the begin of their answers
+	timing         offer.Timing                // when events were delivered to the caller
+	events         *merge.Stream               // events that the caller has
+	head           offer.Head                  // what has become of the head of the response
+	mayHaveRun     bool                        // whether a target may have run the request
+	reservation    *send.Reservation
+	choice         *shift.Choice // version of the targets
+	endedBy        chain.Ending  // what ended the last interrupted attempt, or empty
+	failedResponse *chain.Passed // a target's error response, passed on if no other attempt succeeds
+	replicas       *guard.Replicas
 }
 
 // Run runs a stream until it is complete, refused or interrupted for good, or its caller has left.
@@ -95,9 +92,9 @@
 		policy:        policy,
 		service:       c.Route.PickService(rand.Float64()),
 		usedAddresses: make(map[string]bool),
-		lastEventID:   f.LastEvent,
 		begins:        send.NewBegins(sender, c, f),
 	}
+	s.events = merge.NewStream(&sender.Numbers, s.service, f.LastEvent)
 	s.reservation = sender.NewReservation(s.service)
 	s.choice = sender.Shift.Choose(s.service, c.ID)
 	s.avoided.Store(&offer.Names{})
@@ -148,6 +145,8 @@
 		return s.handleStep(ctx, step)
 	case step := <-s.next.steps():
 		return s.handleOffer(ctx, step)
+	case <-s.current.response.Due():
+		return s.finish(ctx, s.pass(s.current, s.current.response.Overdue()))
 	case report := <-s.current.silences():
 		return s.considerMove(ctx, report)
 	case <-s.overlap.Check():
@@ -160,11 +159,15 @@
 
 // handleStep handles a step of the current attempt.
 func (s *stream) handleStep(ctx context.Context, step offer.Step) (chain.Answer, bool) {
-	ended := s.current
-	result := s.advance(ctx, ended, step)
+	return s.finish(ctx, s.advance(ctx, s.current, step))
+}
+
+// finish handles the outcome of the current attempt, which is nil while it goes on.
+func (s *stream) finish(ctx context.Context, result outcome) (chain.Answer, bool) {
 	if result == nil {
 		return nil, false
 	}
+	ended := s.current
 	s.current, s.next, s.overlap = s.next, nil, offer.Overlap{}
 	ended.close()
 	if answer, done := s.settle(ctx, ended, result); done {
@@ -278,11 +281,6 @@
 	return s.sendCount < max(1, s.call.Route.MaxAttempts)
 }
 
-// hasOrder reports whether another target can tell after which event to go on.
-func (s *stream) hasOrder() bool {
-	return s.eventCount == 0 || event.IsNumber(s.lastEventID)
-}
-
 // isBlocked reports whether a part of the prompt is known to crash targets. A stream whose answer has passed its begin does not.
 func (s *stream) isBlocked() bool {
 	return !s.begins.IsPassed() && s.begins.Blocked()
--- a/entry/flight/move.go
+++ b/entry/flight/move.go
@@ -201,7 +201,7 @@
 
 // MayRetry reports whether the stream may be sent to another target while the current attempt goes on.
 func (s *stream) MayRetry() bool {
-	return (s.hasAttemptsLeft() || s.mayAskRefusers()) && s.unsentCount <= maxUnsent && s.hasOrder() && !s.isBlocked()
+	return (s.hasAttemptsLeft() || s.mayAskRefusers()) && s.unsentCount <= maxUnsent && s.events.IsOrdered() && !s.isBlocked()
 }
 
 // HasAlternative reports whether another target can take the stream.
@@ -228,7 +228,7 @@
 // mayAskRefusers reports whether a stream whose caller has the head may be sent once more to targets that refused it.
 // They have received the request before, so that they do not count against the route's bound again.
 func (s *stream) mayAskRefusers() bool {
-	return len(s.refusers) > 0 && s.head.IsSent() && time.Since(s.lastEventAt) < refusalTimeout
+	return len(s.refusers) > 0 && s.head.IsSent() && time.Since(s.timing.LastAt) < refusalTimeout
 }
 
 // waitAfterRefusal spaces the attempts of a stream whose caller has the head and that full targets refuse.
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -15,6 +15,7 @@
 	"bramleywharf.example/entry/block"
 	"bramleywharf.example/entry/chain"
 	"bramleywharf.example/entry/link"
+	"bramleywharf.example/entry/merge"
 	"bramleywharf.example/entry/picker"
 	"bramleywharf.example/entry/queue"
 	"bramleywharf.example/entry/shift"
@@ -137,6 +138,7 @@
 	Stop         *stop.Stop
 	Queue        *queue.Queue // Queue holds the streams that wait for room at their targets.
 	Shift        *shift.Shift
+	Numbers      merge.Known // Numbers holds how services number the events of their streams.
 	settings     Settings
 	startedAt    time.Time
 	paces        cell.Keyed[flow.PauseEstimate] // paces holds the pauses in each service's streams.
--- a/lab/internal/cmds/shape_test.go
+++ b/lab/internal/cmds/shape_test.go
@@ -113,8 +113,8 @@
 	for name, dir := range map[string]string{
 		"admit": "core/admit", "conf": "core/conf", "deny": "core/deny", "fair": "core/fair", "fence": "core/fence", "flow": "core/flow",
 		"limit": "core/limit", "member": "core/member", "route": "core/route",
-		"site": "core/site", "mirror": "core/mirror", "health": "core/health", "retry": "core/retry", "taint": "core/taint", "grace": "core/grace", "canary": "core/canary", "plan": "core/plan",
-		"chain": "entry/chain", "filter": "entry/filter", "picker": "entry/picker", "queue": "entry/queue", "pass": "entry/pass", "flight": "entry/flight", "relay": "entry/internal/relay",
+		"site": "core/site", "mirror": "core/mirror", "health": "core/health", "retry": "core/retry", "taint": "core/taint", "series": "core/series", "grace": "core/grace", "canary": "core/canary", "plan": "core/plan",
+		"chain": "entry/chain", "filter": "entry/filter", "picker": "entry/picker", "queue": "entry/queue", "pass": "entry/pass", "flight": "entry/flight", "merge": "entry/merge", "relay": "entry/internal/relay",
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
