taint: a part whose requests come at the same moments is blocked

Callers saw: nothing of their own; targets crashed again and again.

Cause: losses at three moments were wanted, and requests that come at once make two. Varying the case showed that a clump of three or more in one failure domain was taken for an outage of the domain as well, and its losses dropped: nearly always with nine requests or more.

Change: a request that was lost at two targets, which one outage does not explain, is evidence besides moments. Crashes of targets past the begin of their answers are recorded, so that an outage shows by a target that the part can't have crashed. Losses of outages are left out when evidence is weighed and dropped after ten seconds, as crashes of other instances may arrive before the losses that explain them. An excuse covers the earlier losses too, of which its instance did not know. A book holds 16 losses of a part, and those of one request stay together.

Ruled out: two moments, or five crashes at one moment (two outages, or a crash all over the fleet as traffic starts, would block a part that sound requests share); time without an answer (blocks rare sound parts). docs/design/blocked-parts.md has the rest.

Tests changed: TestOutageIsNoEvidence checks after each outage, and that the losses are gone after the ten seconds, not at once.

--- a/core/taint/merge.go
+++ b/core/taint/merge.go
@@ -7,10 +7,10 @@
 	"time"
 )
 
-// Covers reports whether the book has all crashes and losses of another one, and the excuses of these.
+// Covers reports whether the book has all losses of another one with their excuses, and the crashes beside these losses.
 func (b Book) Covers(other Book) bool {
 	for _, crash := range other.crashes {
-		if !slices.ContainsFunc(b.crashes, func(c Crash) bool { return c.ID == crash.ID }) {
+		if other.hasLossBeside(crash) && !slices.ContainsFunc(b.crashes, func(c Crash) bool { return c.ID == crash.ID }) {
 			return false
 		}
 	}
@@ -24,6 +24,16 @@
 	return true
 }
 
+// hasLossBeside reports whether a part has a loss in the failure domain of a crash at the same moment.
+func (b Book) hasLossBeside(crash Crash) bool {
+	for _, losses := range b.parts {
+		if slices.ContainsFunc(losses, func(l Loss) bool { return l.Domain == crash.Domain && l.At.Sub(crash.At).Abs() <= momentLength }) {
+			return true
+		}
+	}
+	return false
+}
+
 // WithTimesOf returns the book with the times that another one has of the same crashes and losses.
 func (b Book) WithTimesOf(other Book) Book {
 	times := make(map[LossID]time.Time, len(other.crashes))
@@ -100,9 +110,10 @@
 	}
 }
 
-// compareIDs orders losses by their ids, which are hashes.
+// compareIDs orders losses by their ids, which are hashes. Those of one request stay together in a full book, as a request that
+// was lost twice tells more than two.
 func compareIDs(x, y Loss) int {
-	return compareLossIDs(x.ID, y.ID)
+	return cmp.Or(cmp.Compare(x.ID.Request, y.ID.Request), compareLossIDs(x.ID, y.ID))
 }
 
 func compareLossIDs(x, y LossID) int {
--- a/core/taint/taint.go
+++ b/core/taint/taint.go
@@ -15,6 +15,9 @@
 	// minMoments is the number of different moments at which they have to be lost, since a failure domain that is lost
 	// ends many requests at once.
 	minMoments = 3
+	// minRepeatCrashes is the number of crashes that is enough, whatever their moments, if one of the requests was lost again at
+	// its next target, which the outage of a failure domain does not explain.
+	minRepeatCrashes = 4
 	// momentLength is the time within which losses count as one moment.
 	momentLength = 500 * time.Millisecond
 	// lossTTL is the age at which a loss no longer counts. Refused requests are no evidence, so a part that is blocked
@@ -22,11 +25,13 @@
 	lossTTL = 5 * time.Minute
 	// maxParts, maxLosses and maxCrashes bound the book.
 	maxParts   = 48
-	maxLosses  = 8
+	maxLosses  = 16
 	maxCrashes = 128
 	// outageTargets is the number of targets of one failure domain whose crashes at one moment are an outage of the domain.
 	// Two requests with a part that crashes targets may crash two of them at the same time.
 	outageTargets = 3
+	// settleTime is the age at which the losses of an outage are dropped. Until then instances learn of each other's crashes.
+	settleTime = 10 * time.Second
 	// crashTTL is the age at which a crash is dropped. Outages are recognised within a few seconds.
 	crashTTL = 30 * time.Second
 )
@@ -45,10 +50,10 @@
 	Excused bool // Excused tells that a request with the part was answered since.
 }
 
-// Crash is the crash of a target. Crashes are kept longer than the losses of an outage, so that losses which another
-// instance still has are recognised too.
+// Crash is the crash of a target, whatever it worked on. Crashes are kept longer than the losses of an outage, so that
+// losses which another instance still has are recognised too.
 type Crash struct {
-	ID     LossID
+	ID     LossID // ID has no request if the target was past the begin of its answers.
 	Domain uint64
 	At     time.Time
 }
@@ -118,21 +123,6 @@
 	return now.Sub(at) > lossTTL
 }
 
-// InOutage reports whether a target of a failure domain crashed at a time at which others of the domain did, which was
-// not for what it worked on.
-func (b Book) InOutage(domain uint64, at time.Time) bool {
-	if domain == 0 {
-		return false
-	}
-	targets := make(map[uint64]bool, outageTargets)
-	for _, crash := range b.crashes {
-		if crash.Domain == domain && at.Sub(crash.At).Abs() <= momentLength {
-			targets[crash.ID.Target] = true
-		}
-	}
-	return len(targets) >= outageTargets
-}
-
 // HasOpen reports whether WithAnswer would change the book.
 func (b Book) HasOpen(parts []string) bool {
 	return slices.ContainsFunc(parts, func(part string) bool {
@@ -166,25 +156,11 @@
 	for part, losses := range other.parts {
 		next.parts[part] = mergeLosses(next.parts[part], losses)
 	}
-	return next.withoutOutages().bounded()
-}
-
-// withoutOutages returns the book without the losses that belong to the outage of a failure domain.
-func (b Book) withoutOutages() Book {
-	if len(b.crashes) < outageTargets {
-		return b
-	}
-	next := Book{parts: make(map[string][]Loss, len(b.parts)), crashes: b.crashes}
-	for part, losses := range b.parts {
-		kept := slices.DeleteFunc(slices.Clone(losses), func(l Loss) bool { return b.InOutage(l.Domain, l.At) })
-		if len(kept) > 0 {
-			next.parts[part] = kept
-		}
-	}
-	return next
+	return next.bounded()
 }
 
-// Without returns the book without the losses and crashes that no longer count at a time.
+// Without returns the book without the losses and crashes that no longer count at a time, and without the losses of outages
+// that are settled.
 func (b Book) Without(now time.Time) Book {
 	next := Book{parts: make(map[string][]Loss, len(b.parts))}
 	for _, crash := range b.crashes {
@@ -193,7 +169,10 @@
 		}
 	}
 	for part, losses := range b.parts {
-		kept := slices.DeleteFunc(slices.Clone(losses), func(l Loss) bool { return IsExpired(l.At, now) })
+		_, isBlocked := b.finding(part, now)
+		kept := slices.DeleteFunc(slices.Clone(losses), func(l Loss) bool {
+			return IsExpired(l.At, now) || !isBlocked && now.Sub(l.At) >= settleTime && b.InOutage(l.Domain, l.At)
+		})
 		if len(kept) > 0 {
 			next.parts[part] = kept
 		}
@@ -240,25 +219,6 @@
 	return parts
 }
 
-// finding returns what the losses of a part show, and whether that is enough to block it.
-func (b Book) finding(part string, now time.Time) (Finding, bool) {
-	requests := make(map[uint64]bool)
-	moments, losses := 0, 0
-	var momentStart time.Time
-	for _, l := range b.parts[part] {
-		if l.Excused || IsExpired(l.At, now) {
-			continue
-		}
-		losses++
-		requests[l.ID.Request] = true
-		if moments == 0 || l.At.Sub(momentStart) >= momentLength {
-			moments++
-			momentStart = l.At
-		}
-	}
-	return Finding{Losses: losses, Requests: len(requests)}, len(requests) >= minRequests && moments >= minMoments
-}
-
 // isExplained reports whether another part that is to be blocked was in requests at all crashes of a part and at more.
 // Requests do not count: those that ran beside one with a part that crashes targets are lost with it.
 func (b Book) isExplained(part string, now time.Time) bool {
@@ -270,10 +230,11 @@
 	return false
 }
 
-// includes reports whether a part has losses at all crashes at which another one has losses that are not excused.
+// includes reports whether a part has losses at all crashes at which another one has losses that count.
 func (b Book) includes(part, other string) bool {
+	answered := answeredAt(b.parts[other])
 	for _, l := range b.parts[other] {
-		if !l.Excused && !slices.ContainsFunc(b.parts[part], func(m Loss) bool { return !m.Excused && m.isSameCrash(l) }) {
+		if l.At.After(answered) && !b.isUnrelated(other, l) && !slices.ContainsFunc(b.parts[part], func(m Loss) bool { return !m.Excused && m.isSameCrash(l) }) {
 			return false
 		}
 	}
--- a/entry/block/block.go
+++ b/entry/block/block.go
@@ -85,6 +85,13 @@
 	b.update(func(e Evidence) Evidence { return e.WithBook(c.addTo(e.Book)).WithFound() })
 }
 
+// Crashed records the crash of a target that was past the begin of its answers. It tells outages of failure domains from
+// crashes that a part has caused.
+func (b *Block) Crashed(target, domain string, at time.Time) {
+	id := taint.LossID{Target: hash(target)}
+	b.Merge(taint.NewBook(nil, []taint.Crash{{ID: id, Domain: hashDomain(domain), At: at}}))
+}
+
 // Evidence returns what is known now.
 func (b *Block) Evidence() Evidence {
 	return b.evidence.Load()
--- a/entry/block/block_test.go
+++ b/entry/block/block_test.go
@@ -90,8 +90,8 @@
 	})
 }
 
-// TestOutageIsNoEvidence guards against blocking parts for the outage of a failure domain: the losses of its targets are
-// dropped once the crashes of different instances show the outage, also on those that learn of it later.
+// TestOutageIsNoEvidence guards against blocking parts for the outage of a failure domain: the losses of its targets do not
+// count once the crashes of different instances show the outage, also on those that learn of it later, and are dropped.
 func TestOutageIsNoEvidence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		time.Sleep(time.Millisecond)
@@ -113,8 +113,14 @@
 				}
 			}
 			time.Sleep(time.Second)
+			for _, b := range append(blocks, late) {
+				_, blocked := b.Blocked([]string{"p"})
+				c.Assert(blocked, quicktest.IsFalse, quicktest.Commentf("outage %d", outage))
+			}
 		}
+		time.Sleep(10 * time.Second)
 		for _, b := range append(blocks, late) {
+			b.Crashed("any", "any", time.Now())
 			_, blocked := b.Blocked([]string{"p"})
 			c.Assert(blocked, quicktest.IsFalse)
 			c.Assert(b.Losses(), quicktest.HasLen, 0)
--- a/entry/flight/ending.go
+++ b/entry/flight/ending.go
@@ -49,6 +49,8 @@
 		}
 		if r.atBegin {
 			s.begins.BrokenOff(ctx, a.pick.Target)
+		} else if r.endedBy == chain.EndedByTarget {
+			s.sender.NoteCrash(ctx, a.pick.Target)
 		}
 	}
 	s.avoid(a.pick.Target)
--- a/entry/send/begin.go
+++ b/entry/send/begin.go
@@ -174,10 +174,33 @@
 	return s.Picker.IsCurrent(target) && s.hasCrashed(ctx, target)
 }
 
+// NoteCrash is called when a target has ended a response past its begin. It probes the target beside the request, once for all its
+// responses, and records whether it has crashed: the crashes of targets tell the outage of a failure domain from parts of
+// prompts that crash targets.
+func (s *Sender) NoteCrash(ctx context.Context, target site.Target) {
+	if ctx.Err() != nil || !s.Picker.IsCurrent(target) {
+		return
+	}
+	ctx, at := quota.Detach(ctx), time.Now()
+	s.crashes.DoChan(target.Name, func() (any, error) {
+		ctx, cancel := context.WithTimeout(ctx, crashProbes*crashProbeTimeout)
+		defer cancel()
+		if s.refusesConnections(ctx, target) {
+			s.Blocks.Crashed(target.Name, target.Domain, at)
+		}
+		return nil, nil
+	})
+}
+
 // hasCrashed reports whether a target refuses connections, or reports that it has started since it was chosen.
 func (s *Sender) hasCrashed(ctx context.Context, target site.Target) bool {
 	ctx, cancel := context.WithTimeout(ctx, crashProbes*crashProbeTimeout)
 	defer cancel()
+	return s.refusesConnections(ctx, target) || ctx.Err() == nil && s.hasRestarted(ctx, target)
+}
+
+// refusesConnections reports whether a target refuses connections now or a moment later.
+func (s *Sender) refusesConnections(ctx context.Context, target site.Target) bool {
 	for range crashProbes {
 		if errors.Is(s.Link.Probe(ctx, target.Address), syscall.ECONNREFUSED) {
 			return true
@@ -186,7 +209,7 @@
 			return false
 		}
 	}
-	return s.hasRestarted(ctx, target)
+	return false
 }
 
 // hasRestarted reports whether the process that reports at a target's address started after the target that was chosen.
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -22,6 +22,7 @@
 	"bramleywharf.example/entry/stop"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
+	"golang.org/x/sync/singleflight"
 )
 
 const (
@@ -143,6 +144,7 @@
 	startedAt    time.Time
 	paces        cell.Keyed[flow.PauseEstimate] // paces holds the pauses in each service's streams.
 	retryWindows cell.Keyed[retry.Window]       // retryWindows holds the counts of each service's recent requests.
+	crashes      singleflight.Group             // crashes joins the checks for the crash of one target.
 }
 
 // New returns a sender and makes the picker report its requests and retries to other instances.
