flight: a request that may crash targets runs at one target at a time

Seen: two requests with a part that crashes targets crashed five of them, which is the count from which few more may reach targets.

Cause: while a request read its prompt at its second target, another target of that domain was lost. The monitor then read the target's report, which did not list the request, and the request was offered to a third target beside the second. The crash of the attempt that is closed leaves no evidence either.

Change: a request that has lost a target at the begin of its answer, or has a part with two such crashes, does not leave its target for a report without it. A target that is unreachable, or silent for longer than the prompt explains, is left as before.

Ruled out: letting one request of a suspected part through at a time on all instances (docs/design/blocked-parts.md).

--- a/core/taint/evidence.go
+++ b/core/taint/evidence.go
@@ -19,6 +19,11 @@
 	return f, isApart || isRepeated
 }
 
+// Suspected reports whether requests with one of some parts may crash targets, although none of the parts is blocked.
+func (b Book) Suspected(parts []string, now time.Time) bool {
+	return slices.ContainsFunc(parts, func(part string) bool { return countCrashes(b.open(part, now)) >= minSuspectCrashes })
+}
+
 // open returns the losses of a part that count.
 func (b Book) open(part string, now time.Time) []Loss {
 	losses := b.parts[part]
--- a/core/taint/taint.go
+++ b/core/taint/taint.go
@@ -12,6 +12,8 @@
 const (
 	// minRequests is the number of different requests with a part that have to be lost before it is blocked.
 	minRequests = 3
+	// minSuspectCrashes is the number of crashes after which a part is suspected.
+	minSuspectCrashes = 2
 	// minMoments is the number of different moments at which they have to be lost, since a failure domain that is lost
 	// ends many requests at once.
 	minMoments = 3
--- a/entry/block/block.go
+++ b/entry/block/block.go
@@ -118,6 +118,12 @@
 	return ok
 }
 
+// Suspected reports whether a part may crash targets, so that a request with it had better run at one target at a time.
+func (b *Block) Suspected(parts []string) bool {
+	book := b.Book()
+	return book.Len() > 0 && book.Suspected(partKeys(parts), time.Now())
+}
+
 // InOutage reports whether the crash is known to belong to the outage of a failure domain.
 func (b *Block) InOutage(c Crash) bool {
 	return b.Book().InOutage(hashDomain(c.Domain), c.At)
--- a/entry/flight/move.go
+++ b/entry/flight/move.go
@@ -31,7 +31,7 @@
 
 // considerMove offers the stream to another target for a silence of the current one, if it can go on elsewhere. The
 // current attempt stays open until the other target takes the stream. A stream that the stop of this instance would end
-// there does not leave a target that may be at work.
+// there does not leave a target that may be at work, and one that may crash targets runs at one at a time.
 func (s *stream) considerMove(ctx context.Context, report guard.Silence) (chain.Answer, bool) {
 	if report.LastEvent != s.current.monitor.LastEvent() {
 		return nil, false
@@ -42,7 +42,7 @@
 		return s.stoppedAnswer(s.work(s.current, nil)), true
 	}
 	now := time.Now()
-	if s.next != nil || now.Before(s.nextOfferAt) {
+	if s.next != nil || now.Before(s.nextOfferAt) || errors.Is(report.Err, guard.ErrStreamLost) && s.begins.IsSuspect() {
 		return nil, false
 	}
 	s.nextOfferAt = now.Add(moveCheckInterval)
--- a/entry/send/begin.go
+++ b/entry/send/begin.go
@@ -128,6 +128,11 @@
 	return ok
 }
 
+// IsSuspect reports whether the request may crash targets: it has lost one, or a part of its prompt is suspected.
+func (b *Begins) IsSuspect() bool {
+	return !b.passed && (len(b.losses) > 0 || b.sender.Blocks.Suspected(b.parts))
+}
+
 // Progressed records how far a target has come with its answer, by its events and the time of the first. An answer past
 // its begin counts like a whole one: a part that crashes targets lets none come that far.
 func (b *Begins) Progressed(events int, first time.Time) {
