taint: what a book shows is worked out once for all its parts

Change: a value has the losses that count of all parts, and decides on them. A search for crashes ends at the number wanted. What is blocked does not change. Tests and pages say bursts of requests.

--- a/core/taint/evidence.go
+++ b/core/taint/evidence.go
@@ -5,9 +5,84 @@
 	"time"
 )
 
+// evidence is what a book shows at a time.
+type evidence struct {
+	standing map[string][]Loss  // standing maps parts to their losses that are neither excused nor expired.
+	related  map[string][]Loss  // related maps them to those of these losses that a part may have caused.
+	found    map[string]Finding // found maps the parts with enough evidence to what it shows.
+}
+
+// evidence returns what the book shows at a time.
+func (b Book) evidence(now time.Time) evidence {
+	e := evidence{standing: make(map[string][]Loss), related: make(map[string][]Loss), found: make(map[string]Finding)}
+	for part := range b.parts {
+		losses := b.standing(part, now)
+		if len(losses) == 0 {
+			continue
+		}
+		e.standing[part], e.related[part] = losses, b.related(part, losses)
+		if f, ok := b.finding(part, now); ok {
+			e.found[part] = f
+		}
+	}
+	return e
+}
+
+// blocked reports whether a request with some parts is blocked, as Book.Blocked does.
+func (e evidence) blocked(parts []string) (Finding, bool) {
+	for _, part := range parts {
+		f, ok := e.found[part]
+		if !ok || e.isExplained(part) {
+			continue
+		}
+		f.Parts = e.inseparable(part)
+		if !slices.ContainsFunc(f.Parts, func(p string) bool { return !slices.Contains(parts, p) }) {
+			return f, true
+		}
+	}
+	return Finding{}, false
+}
+
+// inseparable returns the parts that have losses at the same crashes as a part, which is one of them, sorted.
+func (e evidence) inseparable(part string) []string {
+	var parts []string
+	for other := range e.standing {
+		if e.includes(other, part) && e.includes(part, other) {
+			parts = append(parts, other)
+		}
+	}
+	slices.Sort(parts)
+	return parts
+}
+
+// isExplained reports whether another part that is to be blocked was in requests at all crashes of a part and at more.
+// Requests do not count: those that ran beside one with a part that crashes targets are lost with it.
+func (e evidence) isExplained(part string) bool {
+	for other := range e.found {
+		if e.includes(other, part) && !e.includes(part, other) {
+			return true
+		}
+	}
+	return false
+}
+
+// includes reports whether a part has losses at all crashes that another one may have caused.
+func (e evidence) includes(part, other string) bool {
+	for _, l := range e.related[other] {
+		if !slices.ContainsFunc(e.standing[part], l.isSameCrash) {
+			return false
+		}
+	}
+	return true
+}
+
 // finding returns what the losses of a part show, and whether that is enough to block it.
 func (b Book) finding(part string, now time.Time) (Finding, bool) {
-	losses := b.open(part, now)
+	losses := b.standing(part, now)
+	if countRequests(losses) < minRequests {
+		return Finding{}, false
+	}
+	losses = b.related(part, losses)
 	f := Finding{Losses: len(losses), Requests: countRequests(losses)}
 	if f.Requests < minRequests {
 		return f, false
@@ -21,16 +96,16 @@
 
 // Suspected reports whether requests with one of some parts may crash targets, although none of the parts is blocked.
 func (b Book) Suspected(parts []string, now time.Time) bool {
-	return slices.ContainsFunc(parts, func(part string) bool { return countCrashes(b.open(part, now)) >= minSuspectCrashes })
+	return slices.ContainsFunc(parts, func(part string) bool {
+		return countCrashes(b.related(part, b.standing(part, now))) >= minSuspectCrashes
+	})
 }
 
-// open returns the losses of a part that count.
-func (b Book) open(part string, now time.Time) []Loss {
+// standing returns the losses of a part that are neither excused nor expired.
+func (b Book) standing(part string, now time.Time) []Loss {
 	losses := b.parts[part]
 	answered := answeredAt(losses)
-	return slices.DeleteFunc(slices.Clone(losses), func(l Loss) bool {
-		return !l.At.After(answered) || IsExpired(l.At, now) || b.isUnrelated(part, l)
-	})
+	return slices.DeleteFunc(slices.Clone(losses), func(l Loss) bool { return !l.At.After(answered) || IsExpired(l.At, now) })
 }
 
 // answeredAt returns the time of the last loss that is excused. The answer came after it and excuses the earlier ones too, of which
@@ -45,42 +120,53 @@
 	return last
 }
 
+// related returns those of a part's losses that it may have caused. The others belong to outages of failure domains in which
+// targets without a request with the part crashed too. A part with as many losses as the book holds may have crashed those.
+func (b Book) related(part string, losses []Loss) []Loss {
+	known := b.parts[part]
+	if openCount(known) >= maxLosses {
+		return losses
+	}
+	return slices.DeleteFunc(slices.Clone(losses), func(l Loss) bool {
+		return b.InOutage(l.Domain, l.At) && b.crashed(l.Domain, l.At, known, 1)
+	})
+}
+
 // InOutage reports whether a target of a failure domain crashed at a time at which others of the domain did. That is an
 // outage of the domain, unless as many requests with a part that crashes targets came at once.
 func (b Book) InOutage(domain uint64, at time.Time) bool {
-	return b.countCrashed(domain, at, nil) >= outageTargets
-}
-
-// isUnrelated reports whether a loss of a part belongs to an outage of a failure domain that the part has not caused, as a
-// target without a request with the part crashed too. A part with as many losses as the book holds may have crashed that one.
-func (b Book) isUnrelated(part string, l Loss) bool {
-	return b.InOutage(l.Domain, l.At) && b.countCrashed(l.Domain, l.At, b.parts[part]) > 0 && openCount(b.parts[part]) < maxLosses
+	return b.crashed(domain, at, nil, outageTargets)
 }
 
-// countCrashed returns the number of targets of a failure domain that crashed at about a time, without those of some losses.
-func (b Book) countCrashed(domain uint64, at time.Time, except []Loss) int {
+// crashed reports whether a number of targets of a failure domain crashed at about a time, without those of some losses.
+func (b Book) crashed(domain uint64, at time.Time, except []Loss, count int) bool {
 	if domain == 0 {
-		return 0
+		return false
 	}
-	targets := make(map[uint64]bool, outageTargets)
+	var targets []uint64
 	for _, crash := range b.crashes {
-		if crash.Domain != domain || at.Sub(crash.At).Abs() > momentLength {
+		if crash.Domain != domain || at.Sub(crash.At).Abs() > momentLength || slices.Contains(targets, crash.ID.Target) {
 			continue
 		}
-		if !slices.ContainsFunc(except, func(l Loss) bool { return l.isSameCrash(Loss{ID: crash.ID, At: crash.At}) }) {
-			targets[crash.ID.Target] = true
+		if slices.ContainsFunc(except, Loss{ID: crash.ID, At: crash.At}.isSameCrash) {
+			continue
+		}
+		if targets = append(targets, crash.ID.Target); len(targets) >= count {
+			return true
 		}
 	}
-	return len(targets)
+	return false
 }
 
 // countRequests returns the number of requests that were lost.
 func countRequests(losses []Loss) int {
-	requests := make(map[uint64]bool, len(losses))
-	for _, l := range losses {
-		requests[l.ID.Request] = true
+	count := 0
+	for i, l := range losses {
+		if !slices.ContainsFunc(losses[:i], func(m Loss) bool { return m.ID.Request == l.ID.Request }) {
+			count++
+		}
 	}
-	return len(requests)
+	return count
 }
 
 // countMoments returns the number of moments of losses, which are in the order of their times.
--- a/core/taint/evidence_test.go
+++ b/core/taint/evidence_test.go
@@ -36,12 +36,12 @@
 	return b.Without(start.Add(now))
 }
 
-// TestClumps guards against parts that go on crashing targets since their requests come at the same moments, and against
+// TestBursts guards against parts that go on crashing targets since their requests come at the same moments, and against
 // blocking parts of sound requests for outages of failure domains.
-func TestClumps(t *testing.T) {
+func TestBursts(t *testing.T) {
 	const deadly, sound = "shared,deadly", "shared,sound"
-	// clumpIn returns the crashes of the targets of some requests, which are lost again after a time, at targets with domains.
-	clumpIn := func(pause time.Duration, requests int, domains ...uint64) []crashStep {
+	// burstIn returns the crashes of the targets of some requests, which are lost again after a time, at targets with domains.
+	burstIn := func(pause time.Duration, requests int, domains ...uint64) []crashStep {
 		var steps []crashStep
 		for moment := range 2 {
 			for i := range requests {
@@ -51,7 +51,7 @@
 		}
 		return steps
 	}
-	clump := func(requests int, domains ...uint64) []crashStep { return clumpIn(time.Second, requests, domains...) }
+	burst := func(requests int, domains ...uint64) []crashStep { return burstIn(time.Second, requests, domains...) }
 	// outage returns the crashes of a domain's targets, some of which ran sound requests at their begin.
 	outage := func(at time.Duration, domain uint64, targets int, atBegin ...uint64) []crashStep {
 		var steps []crashStep
@@ -76,21 +76,21 @@
 		now   time.Duration
 		want  []string // want holds the prompts that are blocked.
 	}{
-		"three-requests":                     {join(clump(3, 1, 2, 3), answers), 2 * time.Second, []string{deadly}},
-		"three-requests-after-a-time":        {join(clump(3, 1, 2, 3), answers), 25 * time.Second, []string{deadly}},
-		"three-requests-after-minutes":       {join(clump(3, 1, 2, 3), answers), 4 * time.Minute, []string{deadly}},
-		"three-requests-after-their-time":    {join(clump(3, 1, 2, 3), answers), 6 * time.Minute, nil},
-		"three-requests-in-one-domain":       {join(clump(3, 1), answers), 2 * time.Second, []string{deadly}},
-		"three-requests-in-one-domain-later": {join(clump(3, 1), answers), 25 * time.Second, []string{deadly}},
-		"many-requests":                      {join(clump(12, 1, 2, 3), answers), 2 * time.Second, []string{deadly}},
-		"many-requests-after-a-time":         {join(clump(12, 1, 2, 3), answers), time.Minute, []string{deadly}},
-		"domain-unknown":                     {join(clump(3, 0), answers), 2 * time.Second, []string{deadly}},
-		"prompts-that-are-read-fast":         {join(clumpIn(50*time.Millisecond, 3, 1, 2, 3), answers), 2 * time.Second, []string{deadly}},
-		"fast-in-one-domain":                 {join(clumpIn(50*time.Millisecond, 3, 1), answers), 2 * time.Second, nil},
-		"two-requests":                       {join(clump(2, 1, 2, 3), answers), 2 * time.Second, nil},
-		"once-each":                          {join(clump(6, 1, 2, 3, 4, 5, 6)[:6], answers), 2 * time.Second, nil},
-		"outage-in-a-clump":                  {join(clump(3, 1, 2, 3), outage(0, 1, 6, 20, 21), answers), 2 * time.Second, []string{deadly}},
-		"outage-beside-a-clump":              {join(outage(-time.Second, 1, 6, 20, 21), clump(3, 1, 2, 3), answers), 2 * time.Second, []string{deadly}},
+		"three-requests":                     {join(burst(3, 1, 2, 3), answers), 2 * time.Second, []string{deadly}},
+		"three-requests-after-a-time":        {join(burst(3, 1, 2, 3), answers), 25 * time.Second, []string{deadly}},
+		"three-requests-after-minutes":       {join(burst(3, 1, 2, 3), answers), 4 * time.Minute, []string{deadly}},
+		"three-requests-after-their-time":    {join(burst(3, 1, 2, 3), answers), 6 * time.Minute, nil},
+		"three-requests-in-one-domain":       {join(burst(3, 1), answers), 2 * time.Second, []string{deadly}},
+		"three-requests-in-one-domain-later": {join(burst(3, 1), answers), 25 * time.Second, []string{deadly}},
+		"many-requests":                      {join(burst(12, 1, 2, 3), answers), 2 * time.Second, []string{deadly}},
+		"many-requests-after-a-time":         {join(burst(12, 1, 2, 3), answers), time.Minute, []string{deadly}},
+		"domain-unknown":                     {join(burst(3, 0), answers), 2 * time.Second, []string{deadly}},
+		"prompts-that-are-read-fast":         {join(burstIn(50*time.Millisecond, 3, 1, 2, 3), answers), 2 * time.Second, []string{deadly}},
+		"fast-in-one-domain":                 {join(burstIn(50*time.Millisecond, 3, 1), answers), 2 * time.Second, nil},
+		"two-requests":                       {join(burst(2, 1, 2, 3), answers), 2 * time.Second, nil},
+		"once-each":                          {join(burst(6, 1, 2, 3, 4, 5, 6)[:6], answers), 2 * time.Second, nil},
+		"outage-in-a-burst":                  {join(burst(3, 1, 2, 3), outage(0, 1, 6, 20, 21), answers), 2 * time.Second, []string{deadly}},
+		"outage-beside-a-burst":              {join(outage(-time.Second, 1, 6, 20, 21), burst(3, 1, 2, 3), answers), 2 * time.Second, []string{deadly}},
 		"outage":                             {outage(0, 1, 8, 20, 21, 22), 2 * time.Second, nil},
 		"outages":                            {join(outage(0, 1, 8, 20, 21, 22), outage(2*time.Second, 2, 8, 23, 24), outage(4*time.Second, 3, 8, 25, 26, 27)), 5 * time.Second, nil},
 		"outages-after-a-time":               {join(outage(0, 1, 8, 20, 21, 22), outage(2*time.Second, 2, 8, 23, 24), outage(4*time.Second, 3, 8, 25, 26, 27)), 20 * time.Second, nil},
--- a/core/taint/taint.go
+++ b/core/taint/taint.go
@@ -171,10 +171,7 @@
 		}
 	}
 	for part, losses := range b.parts {
-		_, isBlocked := b.finding(part, now)
-		kept := slices.DeleteFunc(slices.Clone(losses), func(l Loss) bool {
-			return IsExpired(l.At, now) || !isBlocked && now.Sub(l.At) >= settleTime && b.InOutage(l.Domain, l.At)
-		})
+		kept := slices.DeleteFunc(slices.Clone(losses), func(l Loss) bool { return IsExpired(l.At, now) || b.isSettled(part, l, now) })
 		if len(kept) > 0 {
 			next.parts[part] = kept
 		}
@@ -182,67 +179,41 @@
 	return next
 }
 
+// isSettled reports whether a loss belongs to an outage that all instances know of by now, and whether it is not evidence for
+// which the part is blocked.
+func (b Book) isSettled(part string, l Loss, now time.Time) bool {
+	if now.Sub(l.At) < settleTime || !b.InOutage(l.Domain, l.At) {
+		return false
+	}
+	_, isBlocked := b.finding(part, now)
+	return !isBlocked
+}
+
 // Blocked reports whether a request with some parts is blocked. Parts that were in requests at the same crashes block a
 // request that has all of them. One that has some of them goes on, since the outcome tells which part is to blame.
 func (b Book) Blocked(parts []string, now time.Time) (Finding, bool) {
-	for _, part := range parts {
-		f, ok := b.finding(part, now)
-		if !ok || b.isExplained(part, now) {
-			continue
-		}
-		f.Parts = b.inseparable(part)
-		if !slices.ContainsFunc(f.Parts, func(p string) bool { return !slices.Contains(parts, p) }) {
-			return f, true
-		}
+	isFound := func(part string) bool {
+		_, ok := b.finding(part, now)
+		return ok
+	}
+	if !slices.ContainsFunc(parts, isFound) {
+		return Finding{}, false
 	}
-	return Finding{}, false
+	return b.evidence(now).blocked(parts)
 }
 
 // Findings returns what requests are blocked for.
 func (b Book) Findings(now time.Time) []Finding {
+	e := b.evidence(now)
 	var findings []Finding
-	for _, part := range slices.Sorted(maps.Keys(b.parts)) {
-		if f, ok := b.Blocked(b.inseparable(part), now); ok && f.Parts[0] == part {
+	for _, part := range slices.Sorted(maps.Keys(e.found)) {
+		if f, ok := e.blocked(e.inseparable(part)); ok && f.Parts[0] == part {
 			findings = append(findings, f)
 		}
 	}
 	return findings
 }
 
-// inseparable returns the parts that have open losses at the same crashes as a part, which is one of them, sorted.
-func (b Book) inseparable(part string) []string {
-	var parts []string
-	for other := range b.parts {
-		if b.includes(other, part) && b.includes(part, other) {
-			parts = append(parts, other)
-		}
-	}
-	slices.Sort(parts)
-	return parts
-}
-
-// isExplained reports whether another part that is to be blocked was in requests at all crashes of a part and at more.
-// Requests do not count: those that ran beside one with a part that crashes targets are lost with it.
-func (b Book) isExplained(part string, now time.Time) bool {
-	for other := range b.parts {
-		if _, ok := b.finding(other, now); ok && b.includes(other, part) && !b.includes(part, other) {
-			return true
-		}
-	}
-	return false
-}
-
-// includes reports whether a part has losses at all crashes at which another one has losses that count.
-func (b Book) includes(part, other string) bool {
-	answered := answeredAt(b.parts[other])
-	for _, l := range b.parts[other] {
-		if l.At.After(answered) && !b.isUnrelated(other, l) && !slices.ContainsFunc(b.parts[part], func(m Loss) bool { return !m.Excused && m.isSameCrash(l) }) {
-			return false
-		}
-	}
-	return true
-}
-
 // isSameCrash reports whether two losses belong to one crash of a target, which may restart under its name.
 func (l Loss) isSameCrash(other Loss) bool {
 	return l.ID.Target == other.ID.Target && l.At.Sub(other.At).Abs() <= momentLength
