--- a/entry/merge/merge_test.go
+++ b/entry/merge/merge_test.go
@@ -129,6 +129,23 @@
 	}
 }
 
+// TestDisputeEnds guards against a service whose doubtful events are never asked for again, as the stream that has asked another
+// target for one has ended before the answer.
+func TestDisputeEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		time.Sleep(time.Millisecond)
+		c := quicktest.New(t)
+		var known Known
+		c.Assert(known.dispute(testService), quicktest.IsTrue)
+		c.Assert(known.dispute(testService), quicktest.IsFalse)
+		c.Assert(known.dispute("other"), quicktest.IsTrue)
+		time.Sleep(disputeTimeout)
+		c.Assert(known.dispute(testService), quicktest.IsTrue)
+		known.settle(testService)
+		c.Assert(known.dispute(testService), quicktest.IsTrue)
+	})
+}
+
 // TestDoubtfulEventIsNotLate checks that an event is held for a bounded time only.
 func TestDoubtfulEventIsNotLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
