taint: the losses of a part are weighed once

Cause: the evidence of a book selected the losses of each part and then had finding select them again; Without asked for the finding anew for each loss of a part.

Change: weigh judges losses that are selected already, isFound selects and weighs them, and Without asks once a part. What is blocked and dropped stays as it is.

Tests of taint, block and recall pass with -race.

--- a/core/taint/evidence.go
+++ b/core/taint/evidence.go
@@ -20,8 +20,9 @@
 		if len(losses) == 0 {
 			continue
 		}
-		e.standing[part], e.related[part] = losses, b.related(part, losses)
-		if f, ok := b.finding(part, now); ok {
+		related := b.related(part, losses)
+		e.standing[part], e.related[part] = losses, related
+		if f, ok := b.weigh(related); ok {
 			e.found[part] = f
 		}
 	}
@@ -76,16 +77,22 @@
 	return true
 }
 
-// finding returns what the losses of a part show, and whether that is enough to block it.
-func (b Book) finding(part string, now time.Time) (Finding, bool) {
+// hasFound reports whether isFound holds for one of some parts, which spares the comparison of all parts if none does.
+func (b Book) hasFound(parts []string, now time.Time) bool {
+	return slices.ContainsFunc(parts, func(part string) bool { return b.isFound(part, now) })
+}
+
+// isFound reports whether the losses of a part are enough to block it.
+func (b Book) isFound(part string, now time.Time) bool {
 	if openCount(b.parts[part]) < minRequests {
-		return Finding{}, false
-	}
-	losses := b.standing(part, now)
-	if countRequests(losses) < minRequests {
-		return Finding{}, false
+		return false // Most parts have few losses; theirs need not be copied.
 	}
-	losses = b.related(part, losses)
+	_, ok := b.weigh(b.related(part, b.standing(part, now)))
+	return ok
+}
+
+// weigh returns what the losses that a part may have caused show, and whether that is enough to block it.
+func (b Book) weigh(losses []Loss) (Finding, bool) {
 	f := Finding{Losses: len(losses), Requests: countRequests(losses)}
 	if f.Requests < minRequests {
 		return f, false
--- a/core/taint/taint.go
+++ b/core/taint/taint.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"fmt"
 	"hash/fnv"
-	"iter"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -172,7 +172,10 @@
 		}
 	}
 	for part, losses := range b.parts {
-		kept := slices.DeleteFunc(slices.Clone(losses), func(l Loss) bool { return IsExpired(l.At, now) || b.isSettled(part, l, now) })
+		isBlocked := sync.OnceValue(func() bool { return b.isFound(part, now) })
+		kept := slices.DeleteFunc(slices.Clone(losses), func(l Loss) bool {
+			return IsExpired(l.At, now) || now.Sub(l.At) >= settleTime && b.InOutage(l.Domain, l.At) && !isBlocked()
+		})
 		if len(kept) > 0 {
 			next.parts[part] = kept
 		}
@@ -180,38 +183,18 @@
 	return next
 }
 
-// isSettled reports whether a loss belongs to an outage that all instances know of by now, and whether it is not evidence for
-// which the part is blocked.
-func (b Book) isSettled(part string, l Loss, now time.Time) bool {
-	if now.Sub(l.At) < settleTime || !b.InOutage(l.Domain, l.At) {
-		return false
-	}
-	_, isBlocked := b.finding(part, now)
-	return !isBlocked
-}
-
 // Blocked reports whether a request with some parts is blocked. Parts that were in requests at the same crashes block a
 // request that has all of them. One that has some of them goes on, since the outcome tells which part is to blame.
 func (b Book) Blocked(parts []string, now time.Time) (Finding, bool) {
-	if !b.hasFinding(slices.Values(parts), now) {
+	if !b.hasFound(parts, now) {
 		return Finding{}, false
 	}
 	return b.evidence(now).blocked(parts)
 }
 
-// hasFinding reports whether there is enough evidence against one of some parts.
-func (b Book) hasFinding(parts iter.Seq[string], now time.Time) bool {
-	for part := range parts {
-		if _, ok := b.finding(part, now); ok {
-			return true
-		}
-	}
-	return false
-}
-
 // Findings returns what requests are blocked for.
 func (b Book) Findings(now time.Time) []Finding {
-	if !b.hasFinding(maps.Keys(b.parts), now) {
+	if !b.hasFound(slices.Collect(maps.Keys(b.parts)), now) {
 		return nil
 	}
 	e := b.evidence(now)
