merge: one call releases a held event

Cause: Overdue did what End does, under another name.

Change: Release serves both the timer and the end of a response. No behaviour changes; the package's tests pass with -race.

--- a/entry/flight/attempt.go
+++ b/entry/flight/attempt.go
@@ -157,7 +157,7 @@
 			return result
 		}
 	case offer.End:
-		last := a.response.End()
+		last := a.response.Release()
 		if len(last) == 0 && !s.isEnd(a) {
 			return interruptedBy(errors.New("response ended before its first event"))
 		}
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -146,7 +146,7 @@
 	case step := <-s.next.steps():
 		return s.handleOffer(ctx, step)
 	case <-s.current.response.Due():
-		return s.finish(ctx, s.pass(s.current, s.current.response.Overdue()))
+		return s.finish(ctx, s.pass(s.current, s.current.response.Release()))
 	case report := <-s.current.silences():
 		return s.considerMove(ctx, report)
 	case <-s.overlap.Check():
--- a/entry/merge/merge.go
+++ b/entry/merge/merge.go
@@ -57,7 +57,7 @@
 // go on with the stream. mayMove tells whether another target can be asked for a doubtful event.
 func (r *Response) Take(e event.Event, mayMove func() bool) ([]event.Event, error) {
 	var events []event.Event
-	if held, ok := r.release(); ok {
+	if held, ok := r.takeHeld(); ok {
 		if err := r.confirm(held, e, mayMove); err != nil {
 			return nil, err
 		}
@@ -77,7 +77,7 @@
 	return append(events, r.accept(e)), nil
 }
 
-// Due returns a channel that receives a value when Overdue is to be called, or nil.
+// Due returns a channel that receives a value when the held event is to be released, or nil.
 func (r *Response) Due() <-chan time.Time {
 	if r == nil {
 		return nil
@@ -85,14 +85,10 @@
 	return r.due
 }
 
-// Overdue returns the event that was held for as long as it may be.
-func (r *Response) Overdue() []event.Event {
-	return r.End()
-}
-
-// End returns the event that is held as the response ends. Whatever its id, no event follows it.
-func (r *Response) End() []event.Event {
-	if held, ok := r.release(); ok {
+// Release returns the event that is held, if there is one, since it is due or the response has ended. It is passed on whatever
+// its id, as no next event tells more.
+func (r *Response) Release() []event.Event {
+	if held, ok := r.takeHeld(); ok {
 		return []event.Event{r.accept(held)}
 	}
 	return nil
@@ -148,8 +144,8 @@
 	r.held, r.due = &e, time.After(maxHold)
 }
 
-// release returns the held event, which is held no longer, and whether there is one.
-func (r *Response) release() (event.Event, bool) {
+// takeHeld returns the held event, which is held no longer, and whether there is one.
+func (r *Response) takeHeld() (event.Event, bool) {
 	if r.held == nil {
 		return event.Event{}, false
 	}
--- a/entry/merge/merge_test.go
+++ b/entry/merge/merge_test.go
@@ -43,7 +43,7 @@
 		}
 		c.Assert(err, quicktest.IsNil)
 	}
-	pass(r.End())
+	pass(r.Release())
 	return taken
 }
 
@@ -161,7 +161,7 @@
 		held := time.Now()
 		<-r.Due()
 		c.Assert(time.Since(held), quicktest.Equals, maxHold)
-		events := r.Overdue()
+		events := r.Release()
 		c.Assert(events, quicktest.HasLen, 1)
 		c.Assert(events[0].ID, quicktest.Equals, "9")
 		c.Assert(r.Due(), quicktest.IsNil)
